--- /dev/null
+++ b/src/router/router.hpp
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+// The interface of the decision module; the head of router.cpp tells how to call it.
+#pragma once
+
+#include "router/types.hpp"
+
+#include <memory>
+#include <span>
+
+namespace harrierpass {
+
+class router {
+public:
+    virtual ~router() = default;
+    virtual void listed(double now, list_kind kind, std::span<const list_entry> entries) = 0;
+    virtual void arrived(double now, const new_query &from) = 0;
+    // `over`: the query has its final answer, by this outcome or before it.
+    virtual void ended(double now, index qry, index execution, outcome result, bool over) = 0;
+    virtual void begun(double now, index qry) = 0; // its stream has started and is the client's now
+    virtual void left(double now, index qry) = 0; // the client went; nothing more is owed
+    virtual void probed(double now, index server, bool answered) = 0;
+    virtual void woken(double now) = 0;
+
+    std::vector<action> actions; // what the last calls decided, in order; the caller empties it
+};
+
+std::unique_ptr<router> make_router(const settings &given, std::uint32_t seed, double now);
+
+// Position on the ring of a point or a key, given as text.
+std::uint64_t ring_hash(std::string_view text);
+
+} // namespace harrierpass
--- /dev/null
+++ b/src/router/types.hpp
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+// Plain types shared by the router and its fronts. Times are seconds, ids are small indices.
+#pragma once
+
+#include <cstdint>
+#include <limits>
+#include <string_view>
+#include <vector>
+
+namespace harrierpass {
+
+using index = std::uint32_t;
+inline constexpr index none = std::numeric_limits<index>::max();
+
+enum class effect_kind : std::uint8_t { idempotent, deduplicated, non_idempotent };
+enum class repeat_group : std::uint8_t { all, zone, cell };
+
+struct use_case {
+    effect_kind effect = effect_kind::non_idempotent;
+    repeat_group group = repeat_group::cell; // which servers drop repeats of a deduplicated query
+    double window = 0;                       // how long they remember it, s
+    double slo_time = 1;
+    double importance = 1;
+    double tardy = 0; // share of the importance left after the SLO time
+};
+
+struct settings {
+    std::vector<use_case> use_cases;
+    std::vector<double> tenant_quota; // queries a second inside each tenant's share, over all proxies
+    double excess_importance = 1;     // what a query beyond the share is worth, as a share of its importance
+    index peers = 1;                  // proxies in all, this one included
+    index origin_kind = none;         // aside mode: the kind of the list's origin entry
+    bool weights_live = false;
+    bool must_subscribe = false;
+    bool second_copies = false;
+    bool may_cancel = false;
+    bool may_probe = false;
+    bool may_advise = false; // a rejection may say when to come back
+    double max_advice = 0;
+    index max_executions = 1;
+    double tick = 0.005; // shortest time between two batches of events
+    double must_ask_in = 0;
+    double start_capacity = 1;
+    double cold_time = 0;
+    double fall_multiple = 1;
+    double fall_time = 0;
+};
+
+enum class listing : std::uint8_t { ready, draining, gone };
+enum class list_kind : std::uint8_t { changes, whole, cached, lost };
+
+struct list_entry {
+    index server = none; // small index that the front gave to the id
+    std::string_view id; // needed for its ring points
+    double started = 0;  // when its process started; 0: long ago
+    index kind = none;
+    index zone = none;
+    index cell = none;
+    double weight = 1;
+    listing state = listing::ready;
+};
+
+struct new_query {
+    index query = none; // small index chosen by the front; free again after its `release`
+    index use_case = 0;
+    index tenant = 0;
+    bool has_key = false;
+    bool write = false;
+    std::uint64_t key = 0;
+    double statement_end = 0; // when the client gives up
+};
+
+enum class outcome : std::uint8_t {
+    completed, error, queue_full, timed_out, connect_error, reset, canceled, ignored, miss
+};
+
+enum class action_kind : std::uint8_t { send, cancel, reject, abort, release, probe, wake, subscribe };
+
+struct action {
+    action_kind kind;
+    index query = none;
+    index server = none;
+    index execution = 0;
+    double time = 0; // wake: when; reject: advised wait
+};
+
+} // namespace harrierpass
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,2 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
