--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -5,6 +5,7 @@
 // index, which is its own again after `release`, and each server id a small index for good. A `wake` asks
 // for woken() at that time. Executions of a query are numbered 0, 1, 2 ... in the order of their `send`.
 #include "router/router.hpp"
+#include "router/records.hpp"
 
 #include <algorithm>
 #include <array>
@@ -21,104 +22,605 @@
 namespace {
 
 // Every constant, with its unit and the reason for its size.
-constexpr double points_per_weight = 160; // points; the design's start value, 8% imbalance
-constexpr double least_points = 16;       // points; a server listed with a tiny weight still takes part
-constexpr double most_points = 2560;      // points; bounds the ring's memory when weights are large
+constexpr double points_per_weight = 160;  // points; the design's start value, 8% imbalance
+constexpr double least_points = 16;        // points; a server listed with a tiny weight still takes part
+constexpr double most_points = 2560;       // points; bounds the ring's memory when weights are large
 constexpr std::size_t candidate_count = 3; // servers; the design's
-constexpr double spill_factor = 2;        // times the mean in flight; the design's
-constexpr double spill_floor = 2;         // queries; the design's
-constexpr double sweep_period = 0.05;     // s; short beside any SLO time, cheap at 20 a second
-constexpr double start_cap = 4;           // executions; a warm server that this proxy knows nothing of
-constexpr double cold_cap = 1;            // executions; the least that still learns
-constexpr double least_cap = 1;           // executions; a limit never shuts a server off
-constexpr double cut_share = 0.7;         // of the cap; a few cuts halve it, one does little harm
-constexpr double slow_share = 0.5;        // of the SLO time; the other half is left for a second try
-constexpr double slow_weight = 0.2;       // of a new answer in the mean; about the last five answers
-constexpr double quiet_limit = 8;         // mean answer times of silence; e^-8 by chance for random work
-constexpr double bad_weight = 0.3;        // of a broken execution in the mean; two in a row condemn
-constexpr double error_weight = 0.2;      // of an error answer, which may be the query's fault; four condemn
-constexpr double bad_limit = 0.5;         // share of broken executions; over it a server is worse than none
-constexpr double trial_gap = 0.5;         // s to the first trial of a suspect server
-constexpr double most_trial_gap = 4;      // s; a dead server costs one trial in this time
-constexpr double repeat_share = 0.1;      // repeats earned by a query; further work stays a tenth of all
-constexpr double repeat_burst = 10;       // repeats saved up; enough for what one dying server held
-constexpr double hold_share = 0.5;        // of the SLO time that a query may wait for room
-constexpr double excess_room = 0.5;       // of all caps; beyond-share queries keep out of the other half
-constexpr std::size_t drain_batch = 16;   // held queries looked at for one freed place; bounds the CPU
-constexpr double first_call_gap = 0.5;    // s between calls for the list after a lost one, doubling
-constexpr double most_call_gap = 8;       // s; the list service is never loaded by waiting proxies
-
-struct execution {
-    index server;
-    double sent;
-    bool open = true;
-    outcome result = outcome::canceled;
-};
+constexpr double spill_factor = 2;         // times the mean in flight; the design's
+constexpr double spill_floor = 2;          // queries; the design's
+constexpr double sweep_period = 0.05;      // s; short beside any SLO time, cheap at 20 a second
+constexpr double start_cap = 4;            // executions; a warm server that this proxy knows nothing of
+constexpr double cold_cap = 1;             // executions; the least that still learns
+constexpr double least_cap = 1;            // executions; a limit never shuts a server off
+constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
+constexpr double slow_share = 0.5;         // of the SLO time; the other half is left for a second try
+constexpr double slow_weight = 0.2;        // of a new answer in the mean; about the last five answers
+constexpr double quiet_limit = 8;          // mean answer times of silence; e^-8 by chance for random work
+constexpr double bad_weight = 0.3;         // of a broken execution in the mean; two in a row condemn
+constexpr double error_weight = 0.2;       // of an error answer, which may be the query's fault; four condemn
+constexpr double bad_limit = 0.5;          // share of broken executions; over it a server is worse than none
+constexpr double trial_gap = 0.5;          // s to the first trial of a suspect server
+constexpr double most_trial_gap = 4;       // s; a dead server costs one trial in this time
+constexpr double repeat_share = 0.1;       // repeats earned by a query; further work stays a tenth of all
+constexpr double repeat_burst = 10;        // repeats saved up; enough for what one dying server held
+constexpr double hold_share = 0.5;         // of the SLO time that a query may wait for room
+constexpr double excess_room = 0.5;        // of all caps; beyond-share queries keep out of the other half
+constexpr std::size_t drain_batch = 16;    // held queries looked at for one freed place; bounds the CPU
+constexpr double first_call_gap = 0.5;     // s between calls for the list after a lost one, doubling
+constexpr double most_call_gap = 8;        // s; the list service is never loaded by waiting proxies
 
-enum class stage : std::uint8_t { held, running, over };
-enum class input : std::uint8_t {
-    nothing, arrives, go, sent, wait, hopeless, missed, unrun, doubtful, half, doubted, done, time_up, left
-};
-enum class health : std::uint8_t { ready, cold, suspect };
-enum class sign : std::uint8_t { struck, answered, reborn, warmed };
-
-struct query {
-    bool live = false;
-    stage at = stage::over;
-    bool write = false, excess = false, to_origin = false, leads = false, follows = false;
-    index use_case = 0, generation = 0;
-    std::uint64_t key = 0, hash = 0;
-    bool has_key = false;
-    double arrived = 0, end = 0, hold_end = 0;
-    index open = 0;
-    std::vector<execution> executions;
-};
+class core final : public router {
+public:
+    core(const settings &given, std::uint32_t seed, double now)
+        : now_(now), chance_(seed), use_cases_(given.use_cases), origin_kind_(given.origin_kind),
+          max_executions_(given.max_executions), second_copies_(given.second_copies),
+          may_probe_(given.may_probe), may_cancel_(given.may_cancel), weights_live_(given.weights_live),
+          must_subscribe_(given.must_subscribe), advice_(given.may_advise ? given.max_advice : 0),
+          start_capacity_(given.start_capacity), cold_time_(given.cold_time), ask_by_(given.must_ask_in) {
+        shortest_slo_ = use_cases_.empty() ? 1 : use_cases_[0].slo_time;
+        for (const auto &each : use_cases_)
+            shortest_slo_ = std::min(shortest_slo_, each.slo_time);
+        mean_answer_ = shortest_slo_ * slow_share / 2;
+        end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
+        for (double quota : given.tenant_quota)
+            tenants_.push_back({quota / given.peers, quota / given.peers, now});
+        call_at_ = now + chance() * first_call_gap;
+        actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
+    }
 
-struct server {
-    std::string id;
-    listing state = listing::gone;
-    health at = health::ready;
-    bool listed_once = false, died = false;
-    index kind = none, zone = none, cell = none;
-    double started = 0;
-    index points = 0, active = 0; // points of its own; those in use now
-    index in_flight = 0;
-    double cap = start_cap;
-    double slow = 0, mean = 0;             // means of answer time / SLO time and of answer time, s
-    double bad = 0;                        // mean share of broken executions
-    double quiet = 0, quiet_at = 0;        // execution-seconds without a sign of life, and up to when
-    double cold_since = 0, cut_at = 0, full_until = 0;
-    double condemned_at = 0, trial_at = 0, gap = trial_gap;
-};
+    void feed(index id, input in) {
+        while (in != input::nothing) {
+            const auto row = std::find_if(query_table.begin(), query_table.end(), [&](const query_row &each) {
+                return each.at == queries_[id].at && each.in == in;
+            });
+            if (row == query_table.end())
+                return;
+            queries_[id].at = row->next;
+            in = (this->*row->effect)(id);
+        }
+    }
 
-struct point {
-    std::uint64_t position;
-    index server, order;
-    bool operator<(const point &that) const {
-        return position != that.position ? position < that.position : server < that.server;
+    void feel(index id, sign in) {
+        const auto row = std::find_if(server_table.begin(), server_table.end(), [&](const server_row &each) {
+            return each.at == servers_[id].at && each.in == in;
+        });
+        if (row == server_table.end())
+            return;
+        servers_[id].at = row->next;
+        (this->*row->effect)(id);
+        refresh();
     }
-};
 
-struct tenant_share {
-    double rate, tokens, at;
-};
+    // ---- Ring and walk
+
+    void rebuild() {
+        ring_.clear();
+        on_ring_.clear();
+        std::string text;
+        for (index id = 0; id < servers_.size(); ++id) {
+            const auto &srv = servers_[id];
+            if (srv.state != listing::ready || srv.kind == origin_kind_)
+                continue;
+            on_ring_.push_back(id);
+            for (index order = 0; order < srv.points; ++order) {
+                text = srv.id + ":" + std::to_string(order);
+                ring_.push_back({ring_hash(text), id, order});
+            }
+        }
+        std::sort(ring_.begin(), ring_.end());
+    }
 
-struct due {
-    double at;
-    index query, generation;
-    bool operator>(const due &that) const { return at > that.at; }
-};
+    // The figures that depend on every server: who can take work, and how much.
+    void refresh() {
+        std::size_t suspects = 0, active = 0;
+        room_ = 0;
+        for (index id : on_ring_) {
+            auto &srv = servers_[id];
+            srv.active = static_cast<index>(std::ceil(srv.points * warmth(srv)));
+            active += srv.active > 0;
+            suspects += srv.at == health::suspect;
+            if (srv.at != health::suspect)
+                room_ += srv.cap;
+        }
+        // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
+        mass_doubt_ = suspects * 2 > on_ring_.size();
+        usable_ = static_cast<index>(mass_doubt_ ? active : active - suspects);
+    }
 
-class core final : public router {
-public:
-    core(const settings &given, std::uint32_t seed, double now);
-    void listed(double now, list_kind kind, std::span<const list_entry> entries) override;
-    void arrived(double now, const new_query &from) override;
-    void ended(double now, index id, index number, outcome result, bool over) override;
-    void begun(double now, index id) override;
-    void left(double now, index id) override;
-    void probed(double now, index id, bool answered) override;
-    void woken(double now) override;
+    double warmth(const server &srv) const {
+        if (srv.at != health::cold || cold_time_ <= 0)
+            return 1;
+        const double gone = std::max(0.0, now_ - srv.cold_since) / cold_time_;
+        return std::min(1.0, start_capacity_ + (1 - start_capacity_) * gone);
+    }
+
+    bool usable(index id, const query &qry) const {
+        const auto &srv = servers_[id];
+        if (srv.at != health::suspect || mass_doubt_)
+            return true;
+        return !may_probe_ && now_ >= srv.trial_at && srv.in_flight == 0 && qry.executions.empty() &&
+               use_cases_[qry.use_case].effect == effect_kind::idempotent;
+    }
+
+    // Walks left from a position and collects the first distinct servers that `accept` takes.
+    template <typename Accept>
+    std::size_t walk(std::uint64_t from, std::array<index, candidate_count> &found, Accept accept) const {
+        std::size_t count = 0;
+        const std::size_t wanted = std::min<std::size_t>(candidate_count, on_ring_.size());
+        auto at = std::upper_bound(ring_.begin(), ring_.end(), from,
+                                   [](std::uint64_t key, const point &each) { return key < each.position; });
+        for (std::size_t seen = 0; seen < ring_.size() && count < wanted; ++seen) {
+            if (at == ring_.begin())
+                at = ring_.end();
+            --at;
+            if (at->order >= servers_[at->server].active)
+                continue;
+            const auto end = found.begin() + static_cast<std::ptrdiff_t>(count);
+            if (std::find(found.begin(), end, at->server) == end && accept(at->server))
+                found[count++] = at->server;
+        }
+        return count;
+    }
+
+    index choose(const query &qry) {
+        if (qry.to_origin) {
+            const bool free = origin_ != none && servers_[origin_].in_flight < servers_[origin_].cap;
+            return free && may_go(qry, origin_) ? origin_ : none;
+        }
+        std::array<index, candidate_count> found{};
+        const std::size_t count = walk(qry.hash, found, [&](index id) {
+            const bool tried =
+                std::any_of(qry.executions.begin(), qry.executions.end(), [&](const execution &each) {
+                    return each.server == id && (each.open || each.result != outcome::miss);
+                });
+            return !tried && usable(id, qry) && may_go(qry, id);
+        });
+        const double mean = (total_in_flight_ + 1.0) / std::max<index>(1, usable_);
+        const double limit = std::max(spill_floor, std::ceil(spill_factor * mean));
+        index best = none;
+        for (std::size_t i = 0; i < count; ++i) {
+            auto &srv = servers_[found[i]];
+            if (srv.at == health::suspect && !mass_doubt_) {
+                srv.trial_at = now_ + srv.gap;
+                return found[i];
+            }
+            if (srv.in_flight >= srv.cap || now_ < srv.full_until)
+                continue;
+            if (srv.in_flight + 1 <= limit)
+                return found[i];
+            if (best == none || srv.in_flight < servers_[best].in_flight)
+                best = found[i];
+        }
+        return best;
+    }
+
+    // ---- Queries
+
+    // The earliest execution that is still out or may have run.
+    static const execution *first_doubt(const query &qry) {
+        for (const auto &each : qry.executions) {
+            const bool proven = each.result == outcome::connect_error || each.result == outcome::queue_full ||
+                                each.result == outcome::ignored || each.result == outcome::miss;
+            if (each.open || !proven)
+                return &each;
+        }
+        return nullptr;
+    }
+
+    // Guards "no effect twice" for every send after the first.
+    bool may_go(const query &qry, index id) const {
+        const auto *doubt = first_doubt(qry);
+        if (!doubt)
+            return true;
+        const auto &use = use_cases_[qry.use_case];
+        if (use.effect == effect_kind::idempotent)
+            return true;
+        if (use.effect == effect_kind::non_idempotent || now_ >= doubt->sent + use.window - end_margin_)
+            return false;
+        const auto &was = servers_[doubt->server];
+        const auto &next = servers_[id];
+        return use.group == repeat_group::all || (use.group == repeat_group::zone && was.zone == next.zone) ||
+               (use.group == repeat_group::cell && was.cell == next.cell);
+    }
+
+    bool may_reject(const query &qry) const {
+        const auto *doubt = first_doubt(qry);
+        const auto &use = use_cases_[qry.use_case];
+        return !doubt || use.effect == effect_kind::idempotent ||
+               (use.effect == effect_kind::deduplicated && use.group == repeat_group::all &&
+                now_ < doubt->sent + use.window - end_margin_);
+    }
+
+    input admit(index id) {
+        auto &qry = queries_[id];
+        qry.to_origin = qry.write && origin_kind_ != none;
+        if (qry.excess && total_in_flight_ >= room_ * excess_room)
+            return input::hopeless;
+        return input::go;
+    }
+
+    input place(index id) {
+        auto &qry = queries_[id];
+        if (qry.executions.size() >= max_executions_ || now_ >= qry.end)
+            return input::hopeless;
+        const index to = choose(qry);
+        if (to == none)
+            return input::wait;
+        send(id, to);
+        return input::sent;
+    }
+
+    void send(index id, index to) {
+        auto &qry = queries_[id];
+        auto &srv = servers_[to];
+        leave_wait(id);
+        took(srv);
+        ++srv.in_flight;
+        total_in_flight_ += to != origin_;
+        ++qry.open;
+        qry.executions.push_back({to, now_});
+        actions.push_back({action_kind::send, id, to, 0, 0});
+    }
+
+    input queue(index id) {
+        auto &qry = queries_[id];
+        if (std::find(held_.begin(), held_.end(), id) == held_.end()) {
+            held_.push_back(id);
+            due_.push({qry.hold_end, id, qry.generation});
+        }
+        return now_ >= qry.hold_end ? input::hopeless : input::nothing;
+    }
+
+    void leave_wait(index id) {
+        const auto found = std::find(held_.begin(), held_.end(), id);
+        if (found != held_.end())
+            held_.erase(found);
+    }
+
+    input finish(index id) {
+        auto &qry = queries_[id];
+        const bool reject = may_reject(qry);
+        actions.push_back(
+            {reject ? action_kind::reject : action_kind::abort, id, none, 0, advice_ * qry.excess});
+        return drop(id);
+    }
+
+    input drop(index id) {
+        auto &qry = queries_[id];
+        leave_wait(id);
+        if (qry.leads) {
+            fetches_.erase(qry.key);
+            qry.leads = false;
+        }
+        if (qry.open == 0) {
+            qry.live = false;
+            ++qry.generation;
+            actions.push_back({action_kind::release, id, none, 0, 0});
+        }
+        return input::nothing;
+    }
+
+    input repeat(index id) {
+        if (repeats_ < 1 || (origin_kind_ != none && queries_[id].to_origin && !queries_[id].write))
+            return input::hopeless;
+        const auto &qry = queries_[id];
+        const auto effect = use_cases_[qry.use_case].effect;
+        if (effect == effect_kind::non_idempotent)
+            return input::hopeless;
+        --repeats_;
+        return input::go;
+    }
+
+    // A miss goes to the origin, once for each key; later ones wait and then ask the cache again.
+    input fetch(index id) {
+        auto &qry = queries_[id];
+        if (origin_ == none)
+            return input::hopeless;
+        qry.hold_end = std::max(qry.hold_end, now_ + use_cases_[qry.use_case].slo_time * hold_share);
+        qry.hold_end = std::min(qry.hold_end, qry.end);
+        if (qry.has_key && fetches_.contains(qry.key) && qry.executions.size() + 2 <= max_executions_) {
+            qry.follows = true;
+            return input::wait;
+        }
+        qry.to_origin = true;
+        if (qry.has_key && !fetches_.contains(qry.key)) {
+            fetches_[qry.key] = id;
+            qry.leads = true;
+        }
+        return input::go;
+    }
+
+    // The server holding this query is suspect: try elsewhere, beside it where copies are allowed.
+    input rescue(index id) {
+        auto &qry = queries_[id];
+        if (use_cases_[qry.use_case].effect == effect_kind::non_idempotent || qry.open > 1 || repeats_ < 1 ||
+            qry.executions.size() >= max_executions_ || now_ >= qry.end)
+            return input::nothing;
+        if (!second_copies_) {
+            if (may_cancel_)
+                actions.push_back(
+                    {action_kind::cancel, id, none, static_cast<index>(qry.executions.size() - 1), 0});
+            return input::nothing;
+        }
+        const index to = choose(qry);
+        if (to != none) {
+            --repeats_;
+            send(id, to);
+        }
+        return input::nothing;
+    }
+
+    void drain() {
+        if (draining_)
+            return;
+        draining_ = true;
+        std::size_t looked = 0;
+        for (std::size_t i = 0; i < held_.size() && looked < drain_batch; ++looked) {
+            const index id = held_[i];
+            auto &qry = queries_[id];
+            if (qry.follows && fetches_.contains(qry.key)) {
+                ++i;
+                continue;
+            }
+            qry.follows = false;
+            feed(id, input::go);
+            if (i < held_.size() && held_[i] == id)
+                ++i;
+        }
+        draining_ = false;
+    }
+
+    void arrived(double now, const new_query &from) override {
+        now_ = now;
+        if (from.query >= queries_.size())
+            queries_.resize(from.query + 1);
+        auto &qry = queries_[from.query];
+        const index generation = qry.generation + 1;
+        auto kept = std::move(qry.executions);
+        kept.clear();
+        qry = query{};
+        qry.executions = std::move(kept);
+        qry.generation = generation;
+        qry.live = true;
+        qry.at = stage::held;
+        qry.write = from.write;
+        qry.use_case = from.use_case < use_cases_.size() ? from.use_case : 0;
+        qry.has_key = from.has_key;
+        qry.key = from.key;
+        std::array<char, 24> text{};
+        const std::uint64_t key = from.has_key ? from.key : (std::uint64_t{chance_()} << 31) + chance_();
+        const auto end = std::to_chars(text.data(), text.data() + text.size(), key).ptr;
+        qry.hash = ring_hash({text.data(), static_cast<std::size_t>(end - text.data())});
+        qry.arrived = now;
+        qry.end = from.statement_end - end_margin_;
+        qry.hold_end = std::min(qry.end, now + use_cases_[qry.use_case].slo_time * hold_share);
+        repeats_ = std::min(repeat_burst, repeats_ + repeat_share);
+        if (from.tenant < tenants_.size()) {
+            auto &share = tenants_[from.tenant];
+            share.tokens = std::min(share.rate, share.tokens + share.rate * (now - share.at));
+            share.at = now;
+            qry.excess = share.rate > 0 && share.tokens < 1;
+            if (!qry.excess)
+                share.tokens -= 1;
+        }
+        due_.push({qry.end, from.query, generation});
+        feed(from.query, input::arrives);
+    }
+
+    void ended(double now, index id, index number, outcome result, bool over) override {
+        now_ = now;
+        if (id >= queries_.size() || !queries_[id].live || number >= queries_[id].executions.size() ||
+            !queries_[id].executions[number].open)
+            return;
+        auto &qry = queries_[id];
+        auto &run = qry.executions[number];
+        auto &srv = servers_[run.server];
+        run.open = false;
+        run.result = result;
+        --qry.open;
+        took(srv);
+        const double elapsed = now - run.sent;
+        const bool answered = result == outcome::completed || result == outcome::miss ||
+                              result == outcome::error || result == outcome::queue_full;
+        if (answered)
+            srv.quiet = 0;
+        const double worse = result == outcome::reset || result == outcome::connect_error ? bad_weight
+                             : result == outcome::error                                   ? error_weight
+                                                                                          : 0;
+        srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
+        if (result == outcome::completed || result == outcome::miss) {
+            srv.mean += slow_weight * (elapsed - srv.mean);
+            mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
+            grow_or_cut(srv, elapsed / use_cases_[qry.use_case].slo_time);
+        } else if (result == outcome::queue_full) {
+            srv.slow = std::max(srv.slow, 1.0);
+            srv.full_until = now + mean_answer_;
+            grow_or_cut(srv, 1);
+        }
+        --srv.in_flight;
+        total_in_flight_ -= run.server != origin_;
+        if (srv.at == health::suspect && answered && result != outcome::queue_full)
+            feel(run.server, srv.died && run.sent > srv.condemned_at ? sign::reborn : sign::answered);
+        else if (srv.bad > bad_limit && worse > 0)
+            feel(run.server, sign::struck);
+        if (worse == bad_weight)
+            srv.died = true;
+        const bool unrun =
+            result == outcome::connect_error || result == outcome::queue_full || result == outcome::ignored;
+        if (qry.at == stage::over) {
+            drop(id);
+        } else {
+            feed(id, over                      ? input::done
+                     : qry.open > 0            ? input::half
+                     : result == outcome::miss ? input::missed
+                     : unrun                   ? input::unrun
+                                               : input::doubtful);
+        }
+        drain();
+    }
+
+    void begun(double now, index id) override {
+        now_ = now;
+        if (id < queries_.size() && queries_[id].live)
+            queries_[id].end = std::numeric_limits<double>::infinity();
+    }
+
+    void left(double now, index id) override {
+        now_ = now;
+        if (id < queries_.size() && queries_[id].live && queries_[id].at != stage::over)
+            feed(id, input::left);
+    }
+
+    // ---- Servers' health and cold starts
+
+    // The limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
+    void grow_or_cut(server &srv, double share) {
+        srv.slow += slow_weight * (share - srv.slow);
+        if (srv.slow <= slow_share) {
+            if (srv.in_flight * 2 >= srv.cap)
+                srv.cap += 1 / srv.cap;
+        } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
+            srv.cap = std::max(least_cap, srv.cap * cut_share);
+            srv.cut_at = now_;
+        }
+    }
+
+    void condemn(index id) {
+        auto &srv = servers_[id];
+        srv.condemned_at = now_;
+        srv.gap = trial_gap;
+        srv.trial_at = now_ + srv.gap;
+        refresh();
+        for (index each = 0; each < queries_.size(); ++each) {
+            const auto &qry = queries_[each];
+            if (qry.live && qry.at == stage::running && qry.executions.back().open &&
+                qry.executions.back().server == id)
+                feed(each, input::doubted);
+        }
+    }
+
+    void back_off(index id) {
+        auto &srv = servers_[id];
+        srv.gap = std::min(most_trial_gap, srv.gap * 2);
+        srv.trial_at = now_ + srv.gap;
+    }
+
+    void restore(index id) {
+        auto &srv = servers_[id];
+        srv.bad = 0;
+        srv.quiet = 0;
+        srv.died = false;
+    }
+
+    void chill(index id) {
+        restore(id);
+        auto &srv = servers_[id];
+        srv.cold_since = std::max(srv.started, srv.condemned_at) > now_ - cold_time_ ? now_ : srv.started;
+        srv.cold_since = std::max(srv.cold_since, srv.started);
+        srv.cap = cold_cap;
+        srv.slow = 0;
+    }
+
+    void probed(double now, index id, bool answered) override {
+        now_ = now;
+        if (id >= servers_.size() || servers_[id].at != health::suspect)
+            return;
+        feel(id, !answered ? sign::struck : servers_[id].died ? sign::reborn : sign::answered);
+    }
+
+    // ---- The list
+
+    void listed(double now, list_kind kind, std::span<const list_entry> entries) override {
+        now_ = now;
+        if (kind == list_kind::lost) {
+            subscribed_ = false;
+            call_at_ = now + call_gap_ * (0.5 + chance());
+            call_gap_ = std::min(most_call_gap, call_gap_ * 2);
+            return;
+        }
+        if (kind != list_kind::cached) {
+            subscribed_ = true;
+            call_gap_ = first_call_gap;
+        }
+        std::vector<bool> named(servers_.size());
+        for (const auto &entry : entries) {
+            if (entry.server >= servers_.size())
+                servers_.resize(entry.server + 1);
+            named.resize(servers_.size());
+            named[entry.server] = true;
+            auto &srv = servers_[entry.server];
+            const bool fresh = !srv.listed_once;
+            if (fresh) {
+                srv.id = entry.id;
+                srv.mean = mean_answer_;
+                srv.cap = start_cap;
+                srv.quiet_at = now;
+            }
+            const bool restarted = entry.started > srv.started;
+            srv.listed_once = true;
+            srv.state = entry.state;
+            srv.kind = entry.kind;
+            srv.zone = entry.zone;
+            srv.cell = entry.cell;
+            srv.started = std::max(srv.started, entry.started);
+            const double weight = weights_live_ ? 1 : entry.weight;
+            srv.points = static_cast<index>(
+                std::clamp(std::round(weight * points_per_weight), least_points, most_points));
+            if (srv.kind == origin_kind_) {
+                origin_ = srv.state == listing::ready ? entry.server : none;
+                continue;
+            }
+            if ((restarted || (fresh && kind == list_kind::changes)) && now - entry.started < cold_time_) {
+                srv.condemned_at = 0;
+                feel(entry.server, sign::reborn);
+                srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
+            }
+        }
+        if (kind != list_kind::changes) // what a whole list leaves out is gone
+            for (index id = 0; id < servers_.size(); ++id)
+                if (id >= named.size() || !named[id])
+                    servers_[id].state = listing::gone;
+        rebuild();
+        refresh();
+        drain();
+    }
+
+    void ask_for_list() {
+        if (!must_subscribe_ || subscribed_ || now_ < call_at_)
+            return;
+        actions.push_back({action_kind::subscribe, none, none, 0, 0});
+        call_at_ = now_ + std::max(ask_by_ / 2, most_call_gap); // until the answer, which comes in any case
+    }
+
+    // The periodic work, then all that has come due.
+    void woken(double now) override {
+        now_ = now;
+        actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
+        ask_for_list();
+        for (std::size_t i = 0; i < on_ring_.size(); ++i) {
+            const index id = on_ring_[i];
+            auto &srv = servers_[id];
+            took(srv);
+            if (srv.at != health::suspect && srv.quiet > quiet_limit * std::max(srv.mean, mean_answer_))
+                feel(id, sign::struck);
+            if (srv.at == health::cold && warmth(srv) >= 1)
+                feel(id, sign::warmed);
+            if (srv.at == health::suspect && may_probe_ && now >= srv.trial_at) {
+                actions.push_back({action_kind::probe, none, id, 0, 0});
+                srv.trial_at = now + srv.gap;
+            }
+        }
+        refresh();
+        while (!due_.empty() && due_.top().at <= now) {
+            const due top = due_.top();
+            due_.pop();
+            const auto &qry = queries_[top.query];
+            if (qry.live && qry.generation == top.generation &&
+                (now >= qry.end || (qry.at == stage::held && now >= qry.hold_end)))
+                feed(top.query, input::time_up);
+        }
+        drain();
+    }
 
 private:
     using query_effect = input (core::*)(index);
@@ -137,46 +639,13 @@
     };
     static const std::array<query_row, 17> query_table;
     static const std::array<server_row, 9> server_table;
-    void feed(index id, input in);
-    void feel(index id, sign in);
-    // Effects on queries.
     input none_more(index) { return input::nothing; }
-    input admit(index id);
-    input place(index id);
-    input queue(index id);
-    input finish(index id);
-    input drop(index id);
     input retry(index) { return input::go; }
-    input repeat(index id);
-    input fetch(index id);
-    input rescue(index id);
-    // Effects on servers.
-    void condemn(index id);
-    void chill(index id);
-    void restore(index id);
-    void back_off(index id);
-    // Ring and walk.
-    void rebuild();
-    void refresh();
-    bool usable(index id, const query &qry) const;
-    template <typename Accept>
-    std::size_t walk(std::uint64_t from, std::array<index, candidate_count> &found, Accept accept) const;
-    index choose(const query &qry);
-    bool may_go(const query &qry, index id) const;
-    bool may_reject(const query &qry) const;
-    static const execution *first_doubt(const query &qry);
-    void send(index id, index to);
-    void leave_wait(index id);
-    void drain();
-    void grow_or_cut(server &srv, double share);
     void took(server &srv) {
         srv.quiet += srv.in_flight * (now_ - srv.quiet_at);
         srv.quiet_at = now_;
     }
-    double warmth(const server &srv) const;
-    void ask_for_list();
     double chance() { return (static_cast<double>(chance_()) - 1) / 2147483646.0; }
-
     double now_;
     std::minstd_rand chance_;
     std::vector<use_case> use_cases_;
@@ -229,575 +698,11 @@
     {health::suspect, sign::warmed, health::suspect, &core::back_off},
 }};
 
-core::core(const settings &given, std::uint32_t seed, double now)
-    : now_(now), chance_(seed), use_cases_(given.use_cases), origin_kind_(given.origin_kind),
-      max_executions_(given.max_executions), second_copies_(given.second_copies), may_probe_(given.may_probe),
-      may_cancel_(given.may_cancel), weights_live_(given.weights_live), must_subscribe_(given.must_subscribe),
-      advice_(given.may_advise ? given.max_advice : 0), start_capacity_(given.start_capacity),
-      cold_time_(given.cold_time), ask_by_(given.must_ask_in) {
-    shortest_slo_ = use_cases_.empty() ? 1 : use_cases_[0].slo_time;
-    for (const auto &each : use_cases_)
-        shortest_slo_ = std::min(shortest_slo_, each.slo_time);
-    mean_answer_ = shortest_slo_ * slow_share / 2;
-    end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
-    for (double quota : given.tenant_quota)
-        tenants_.push_back({quota / given.peers, quota / given.peers, now});
-    call_at_ = now + chance() * first_call_gap;
-    actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
-}
-
-void core::feed(index id, input in) {
-    while (in != input::nothing) {
-        const auto row = std::find_if(query_table.begin(), query_table.end(), [&](const query_row &each) {
-            return each.at == queries_[id].at && each.in == in;
-        });
-        if (row == query_table.end())
-            return;
-        queries_[id].at = row->next;
-        in = (this->*row->effect)(id);
-    }
-}
-
-void core::feel(index id, sign in) {
-    const auto row = std::find_if(server_table.begin(), server_table.end(), [&](const server_row &each) {
-        return each.at == servers_[id].at && each.in == in;
-    });
-    if (row == server_table.end())
-        return;
-    servers_[id].at = row->next;
-    (this->*row->effect)(id);
-    refresh();
-}
-
-// ---- Ring and walk
-
-void core::rebuild() {
-    ring_.clear();
-    on_ring_.clear();
-    std::string text;
-    for (index id = 0; id < servers_.size(); ++id) {
-        const auto &srv = servers_[id];
-        if (srv.state != listing::ready || srv.kind == origin_kind_)
-            continue;
-        on_ring_.push_back(id);
-        for (index order = 0; order < srv.points; ++order) {
-            text = srv.id + ":" + std::to_string(order);
-            ring_.push_back({ring_hash(text), id, order});
-        }
-    }
-    std::sort(ring_.begin(), ring_.end());
-}
-
-// The figures that depend on every server: who can take work, and how much.
-void core::refresh() {
-    std::size_t suspects = 0, active = 0;
-    room_ = 0;
-    for (index id : on_ring_) {
-        auto &srv = servers_[id];
-        srv.active = static_cast<index>(std::ceil(srv.points * warmth(srv)));
-        active += srv.active > 0;
-        suspects += srv.at == health::suspect;
-        if (srv.at != health::suspect)
-            room_ += srv.cap;
-    }
-    // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
-    mass_doubt_ = suspects * 2 > on_ring_.size();
-    usable_ = static_cast<index>(mass_doubt_ ? active : active - suspects);
-}
-
-double core::warmth(const server &srv) const {
-    if (srv.at != health::cold || cold_time_ <= 0)
-        return 1;
-    const double gone = std::max(0.0, now_ - srv.cold_since) / cold_time_;
-    return std::min(1.0, start_capacity_ + (1 - start_capacity_) * gone);
-}
-
-bool core::usable(index id, const query &qry) const {
-    const auto &srv = servers_[id];
-    if (srv.at != health::suspect || mass_doubt_)
-        return true;
-    return !may_probe_ && now_ >= srv.trial_at && srv.in_flight == 0 && qry.executions.empty() &&
-           use_cases_[qry.use_case].effect == effect_kind::idempotent;
-}
-
-// Walks left from a position and collects the first distinct servers that `accept` takes.
-template <typename Accept>
-std::size_t core::walk(std::uint64_t from, std::array<index, candidate_count> &found, Accept accept) const {
-    std::size_t count = 0;
-    const std::size_t wanted = std::min<std::size_t>(candidate_count, on_ring_.size());
-    auto at = std::upper_bound(ring_.begin(), ring_.end(), from,
-                               [](std::uint64_t key, const point &each) { return key < each.position; });
-    for (std::size_t seen = 0; seen < ring_.size() && count < wanted; ++seen) {
-        if (at == ring_.begin())
-            at = ring_.end();
-        --at;
-        if (at->order >= servers_[at->server].active)
-            continue;
-        const auto end = found.begin() + static_cast<std::ptrdiff_t>(count);
-        if (std::find(found.begin(), end, at->server) == end && accept(at->server))
-            found[count++] = at->server;
-    }
-    return count;
-}
-
-index core::choose(const query &qry) {
-    if (qry.to_origin) {
-        const bool free = origin_ != none && servers_[origin_].in_flight < servers_[origin_].cap;
-        return free && may_go(qry, origin_) ? origin_ : none;
-    }
-    std::array<index, candidate_count> found{};
-    const std::size_t count = walk(qry.hash, found, [&](index id) {
-        const bool tried = std::any_of(qry.executions.begin(), qry.executions.end(), [&](const execution &each) {
-            return each.server == id && (each.open || each.result != outcome::miss);
-        });
-        return !tried && usable(id, qry) && may_go(qry, id);
-    });
-    const double mean = (total_in_flight_ + 1.0) / std::max<index>(1, usable_);
-    const double limit = std::max(spill_floor, std::ceil(spill_factor * mean));
-    index best = none;
-    for (std::size_t i = 0; i < count; ++i) {
-        auto &srv = servers_[found[i]];
-        if (srv.at == health::suspect && !mass_doubt_) {
-            srv.trial_at = now_ + srv.gap;
-            return found[i];
-        }
-        if (srv.in_flight >= srv.cap || now_ < srv.full_until)
-            continue;
-        if (srv.in_flight + 1 <= limit)
-            return found[i];
-        if (best == none || srv.in_flight < servers_[best].in_flight)
-            best = found[i];
-    }
-    return best;
-}
-
-// ---- Queries
-
-// The earliest execution that is still out or may have run.
-const execution *core::first_doubt(const query &qry) {
-    for (const auto &each : qry.executions) {
-        const bool proven = each.result == outcome::connect_error || each.result == outcome::queue_full ||
-                            each.result == outcome::ignored || each.result == outcome::miss;
-        if (each.open || !proven)
-            return &each;
-    }
-    return nullptr;
-}
-
-// Guards "no effect twice" for every send after the first.
-bool core::may_go(const query &qry, index id) const {
-    const auto *doubt = first_doubt(qry);
-    if (!doubt)
-        return true;
-    const auto &use = use_cases_[qry.use_case];
-    if (use.effect == effect_kind::idempotent)
-        return true;
-    if (use.effect == effect_kind::non_idempotent || now_ >= doubt->sent + use.window - end_margin_)
-        return false;
-    const auto &was = servers_[doubt->server];
-    const auto &next = servers_[id];
-    return use.group == repeat_group::all || (use.group == repeat_group::zone && was.zone == next.zone) ||
-           (use.group == repeat_group::cell && was.cell == next.cell);
-}
-
-bool core::may_reject(const query &qry) const {
-    const auto *doubt = first_doubt(qry);
-    const auto &use = use_cases_[qry.use_case];
-    return !doubt || use.effect == effect_kind::idempotent ||
-           (use.effect == effect_kind::deduplicated && use.group == repeat_group::all &&
-            now_ < doubt->sent + use.window - end_margin_);
-}
-
-input core::admit(index id) {
-    auto &qry = queries_[id];
-    qry.to_origin = qry.write && origin_kind_ != none;
-    if (qry.excess && total_in_flight_ >= room_ * excess_room)
-        return input::hopeless;
-    return input::go;
-}
-
-input core::place(index id) {
-    auto &qry = queries_[id];
-    if (qry.executions.size() >= max_executions_ || now_ >= qry.end)
-        return input::hopeless;
-    const index to = choose(qry);
-    if (to == none)
-        return input::wait;
-    send(id, to);
-    return input::sent;
-}
-
-void core::send(index id, index to) {
-    auto &qry = queries_[id];
-    auto &srv = servers_[to];
-    leave_wait(id);
-    took(srv);
-    ++srv.in_flight;
-    total_in_flight_ += to != origin_;
-    ++qry.open;
-    qry.executions.push_back({to, now_});
-    actions.push_back({action_kind::send, id, to, 0, 0});
-}
-
-input core::queue(index id) {
-    auto &qry = queries_[id];
-    if (std::find(held_.begin(), held_.end(), id) == held_.end()) {
-        held_.push_back(id);
-        due_.push({qry.hold_end, id, qry.generation});
-    }
-    return now_ >= qry.hold_end ? input::hopeless : input::nothing;
-}
-
-void core::leave_wait(index id) {
-    const auto found = std::find(held_.begin(), held_.end(), id);
-    if (found != held_.end())
-        held_.erase(found);
-}
-
-input core::finish(index id) {
-    auto &qry = queries_[id];
-    const bool reject = may_reject(qry);
-    actions.push_back({reject ? action_kind::reject : action_kind::abort, id, none, 0, advice_ * qry.excess});
-    return drop(id);
-}
-
-input core::drop(index id) {
-    auto &qry = queries_[id];
-    leave_wait(id);
-    if (qry.leads) {
-        fetches_.erase(qry.key);
-        qry.leads = false;
-    }
-    if (qry.open == 0) {
-        qry.live = false;
-        ++qry.generation;
-        actions.push_back({action_kind::release, id, none, 0, 0});
-    }
-    return input::nothing;
-}
-
-input core::repeat(index id) {
-    if (repeats_ < 1 || (origin_kind_ != none && queries_[id].to_origin && !queries_[id].write))
-        return input::hopeless;
-    const auto &qry = queries_[id];
-    const auto effect = use_cases_[qry.use_case].effect;
-    if (effect == effect_kind::non_idempotent)
-        return input::hopeless;
-    --repeats_;
-    return input::go;
-}
-
-// A miss goes to the origin, once for each key; later ones wait and then ask the cache again.
-input core::fetch(index id) {
-    auto &qry = queries_[id];
-    if (origin_ == none)
-        return input::hopeless;
-    qry.hold_end = std::max(qry.hold_end, now_ + use_cases_[qry.use_case].slo_time * hold_share);
-    qry.hold_end = std::min(qry.hold_end, qry.end);
-    if (qry.has_key && fetches_.contains(qry.key) && qry.executions.size() + 2 <= max_executions_) {
-        qry.follows = true;
-        return input::wait;
-    }
-    qry.to_origin = true;
-    if (qry.has_key && !fetches_.contains(qry.key)) {
-        fetches_[qry.key] = id;
-        qry.leads = true;
-    }
-    return input::go;
-}
-
-// The server holding this query is suspect: try elsewhere, beside it where copies are allowed.
-input core::rescue(index id) {
-    auto &qry = queries_[id];
-    if (use_cases_[qry.use_case].effect == effect_kind::non_idempotent || qry.open > 1 || repeats_ < 1 ||
-        qry.executions.size() >= max_executions_ || now_ >= qry.end)
-        return input::nothing;
-    if (!second_copies_) {
-        if (may_cancel_)
-            actions.push_back({action_kind::cancel, id, none, static_cast<index>(qry.executions.size() - 1), 0});
-        return input::nothing;
-    }
-    const index to = choose(qry);
-    if (to != none) {
-        --repeats_;
-        send(id, to);
-    }
-    return input::nothing;
-}
-
-void core::drain() {
-    if (draining_)
-        return;
-    draining_ = true;
-    std::size_t looked = 0;
-    for (std::size_t i = 0; i < held_.size() && looked < drain_batch; ++looked) {
-        const index id = held_[i];
-        auto &qry = queries_[id];
-        if (qry.follows && fetches_.contains(qry.key)) {
-            ++i;
-            continue;
-        }
-        qry.follows = false;
-        feed(id, input::go);
-        if (i < held_.size() && held_[i] == id)
-            ++i;
-    }
-    draining_ = false;
-}
-
-void core::arrived(double now, const new_query &from) {
-    now_ = now;
-    if (from.query >= queries_.size())
-        queries_.resize(from.query + 1);
-    auto &qry = queries_[from.query];
-    const index generation = qry.generation + 1;
-    auto kept = std::move(qry.executions);
-    kept.clear();
-    qry = query{};
-    qry.executions = std::move(kept);
-    qry.generation = generation;
-    qry.live = true;
-    qry.at = stage::held;
-    qry.write = from.write;
-    qry.use_case = from.use_case < use_cases_.size() ? from.use_case : 0;
-    qry.has_key = from.has_key;
-    qry.key = from.key;
-    std::array<char, 24> text{};
-    const std::uint64_t key = from.has_key ? from.key : (std::uint64_t{chance_()} << 31) + chance_();
-    const auto end = std::to_chars(text.data(), text.data() + text.size(), key).ptr;
-    qry.hash = ring_hash({text.data(), static_cast<std::size_t>(end - text.data())});
-    qry.arrived = now;
-    qry.end = from.statement_end - end_margin_;
-    qry.hold_end = std::min(qry.end, now + use_cases_[qry.use_case].slo_time * hold_share);
-    repeats_ = std::min(repeat_burst, repeats_ + repeat_share);
-    if (from.tenant < tenants_.size()) {
-        auto &share = tenants_[from.tenant];
-        share.tokens = std::min(share.rate, share.tokens + share.rate * (now - share.at));
-        share.at = now;
-        qry.excess = share.rate > 0 && share.tokens < 1;
-        if (!qry.excess)
-            share.tokens -= 1;
-    }
-    due_.push({qry.end, from.query, generation});
-    feed(from.query, input::arrives);
-}
-
-void core::ended(double now, index id, index number, outcome result, bool over) {
-    now_ = now;
-    if (id >= queries_.size() || !queries_[id].live || number >= queries_[id].executions.size() ||
-        !queries_[id].executions[number].open)
-        return;
-    auto &qry = queries_[id];
-    auto &run = qry.executions[number];
-    auto &srv = servers_[run.server];
-    run.open = false;
-    run.result = result;
-    --qry.open;
-    took(srv);
-    const double elapsed = now - run.sent;
-    const bool answered = result == outcome::completed || result == outcome::miss || result == outcome::error ||
-                          result == outcome::queue_full;
-    if (answered)
-        srv.quiet = 0;
-    const double worse = result == outcome::reset || result == outcome::connect_error ? bad_weight
-                         : result == outcome::error                                   ? error_weight
-                                                                                      : 0;
-    srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
-    if (result == outcome::completed || result == outcome::miss) {
-        srv.mean += slow_weight * (elapsed - srv.mean);
-        mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
-        grow_or_cut(srv, elapsed / use_cases_[qry.use_case].slo_time);
-    } else if (result == outcome::queue_full) {
-        srv.slow = std::max(srv.slow, 1.0);
-        srv.full_until = now + mean_answer_;
-        grow_or_cut(srv, 1);
-    }
-    --srv.in_flight;
-    total_in_flight_ -= run.server != origin_;
-    if (srv.at == health::suspect && answered && result != outcome::queue_full)
-        feel(run.server, srv.died && run.sent > srv.condemned_at ? sign::reborn : sign::answered);
-    else if (srv.bad > bad_limit && worse > 0)
-        feel(run.server, sign::struck);
-    if (worse == bad_weight)
-        srv.died = true;
-    const bool unrun = result == outcome::connect_error || result == outcome::queue_full || result == outcome::ignored;
-    if (qry.at == stage::over) {
-        drop(id);
-    } else {
-        feed(id, over                      ? input::done
-                 : qry.open > 0            ? input::half
-                 : result == outcome::miss ? input::missed
-                 : unrun                   ? input::unrun
-                                           : input::doubtful);
-    }
-    drain();
-}
-
-void core::begun(double now, index id) {
-    now_ = now;
-    if (id < queries_.size() && queries_[id].live)
-        queries_[id].end = std::numeric_limits<double>::infinity();
-}
-
-void core::left(double now, index id) {
-    now_ = now;
-    if (id < queries_.size() && queries_[id].live && queries_[id].at != stage::over)
-        feed(id, input::left);
-}
-
-// ---- Servers' health and cold starts
-
-// The limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
-void core::grow_or_cut(server &srv, double share) {
-    srv.slow += slow_weight * (share - srv.slow);
-    if (srv.slow <= slow_share) {
-        if (srv.in_flight * 2 >= srv.cap)
-            srv.cap += 1 / srv.cap;
-    } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
-        srv.cap = std::max(least_cap, srv.cap * cut_share);
-        srv.cut_at = now_;
-    }
-}
-
-void core::condemn(index id) {
-    auto &srv = servers_[id];
-    srv.condemned_at = now_;
-    srv.gap = trial_gap;
-    srv.trial_at = now_ + srv.gap;
-    refresh();
-    for (index each = 0; each < queries_.size(); ++each) {
-        const auto &qry = queries_[each];
-        if (qry.live && qry.at == stage::running && qry.executions.back().open &&
-            qry.executions.back().server == id)
-            feed(each, input::doubted);
-    }
-}
-
-void core::back_off(index id) {
-    auto &srv = servers_[id];
-    srv.gap = std::min(most_trial_gap, srv.gap * 2);
-    srv.trial_at = now_ + srv.gap;
-}
-
-void core::restore(index id) {
-    auto &srv = servers_[id];
-    srv.bad = 0;
-    srv.quiet = 0;
-    srv.died = false;
-}
-
-void core::chill(index id) {
-    restore(id);
-    auto &srv = servers_[id];
-    srv.cold_since = std::max(srv.started, srv.condemned_at) > now_ - cold_time_ ? now_ : srv.started;
-    srv.cold_since = std::max(srv.cold_since, srv.started);
-    srv.cap = cold_cap;
-    srv.slow = 0;
-}
-
-void core::probed(double now, index id, bool answered) {
-    now_ = now;
-    if (id >= servers_.size() || servers_[id].at != health::suspect)
-        return;
-    feel(id, !answered ? sign::struck : servers_[id].died ? sign::reborn : sign::answered);
-}
-
-// ---- The list
-
-void core::listed(double now, list_kind kind, std::span<const list_entry> entries) {
-    now_ = now;
-    if (kind == list_kind::lost) {
-        subscribed_ = false;
-        call_at_ = now + call_gap_ * (0.5 + chance());
-        call_gap_ = std::min(most_call_gap, call_gap_ * 2);
-        return;
-    }
-    if (kind != list_kind::cached) {
-        subscribed_ = true;
-        call_gap_ = first_call_gap;
-    }
-    std::vector<bool> named(servers_.size());
-    for (const auto &entry : entries) {
-        if (entry.server >= servers_.size())
-            servers_.resize(entry.server + 1);
-        named.resize(servers_.size());
-        named[entry.server] = true;
-        auto &srv = servers_[entry.server];
-        const bool fresh = !srv.listed_once;
-        if (fresh) {
-            srv.id = entry.id;
-            srv.mean = mean_answer_;
-            srv.quiet_at = now;
-        }
-        const bool restarted = entry.started > srv.started;
-        srv.listed_once = true;
-        srv.state = entry.state;
-        srv.kind = entry.kind;
-        srv.zone = entry.zone;
-        srv.cell = entry.cell;
-        srv.started = std::max(srv.started, entry.started);
-        const double weight = weights_live_ ? 1 : entry.weight;
-        srv.points = static_cast<index>(
-            std::clamp(std::round(weight * points_per_weight), least_points, most_points));
-        if (srv.kind == origin_kind_) {
-            origin_ = srv.state == listing::ready ? entry.server : none;
-            continue;
-        }
-        if ((restarted || (fresh && kind == list_kind::changes)) && now - entry.started < cold_time_) {
-            srv.condemned_at = 0;
-            feel(entry.server, sign::reborn);
-            srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
-        }
-    }
-    if (kind != list_kind::changes) // what a whole list leaves out is gone
-        for (index id = 0; id < servers_.size(); ++id)
-            if (id >= named.size() || !named[id])
-                servers_[id].state = listing::gone;
-    rebuild();
-    refresh();
-    drain();
-}
-
-void core::ask_for_list() {
-    if (!must_subscribe_ || subscribed_ || now_ < call_at_)
-        return;
-    actions.push_back({action_kind::subscribe, none, none, 0, 0});
-    call_at_ = now_ + std::max(ask_by_ / 2, most_call_gap); // until the answer, which comes in any case
-}
-
-// The periodic work, then all that has come due.
-void core::woken(double now) {
-    now_ = now;
-    actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
-    ask_for_list();
-    for (std::size_t i = 0; i < on_ring_.size(); ++i) {
-        const index id = on_ring_[i];
-        auto &srv = servers_[id];
-        took(srv);
-        if (srv.at != health::suspect && srv.quiet > quiet_limit * std::max(srv.mean, mean_answer_))
-            feel(id, sign::struck);
-        if (srv.at == health::cold && warmth(srv) >= 1)
-            feel(id, sign::warmed);
-        if (srv.at == health::suspect && may_probe_ && now >= srv.trial_at) {
-            actions.push_back({action_kind::probe, none, id, 0, 0});
-            srv.trial_at = now + srv.gap;
-        }
-    }
-    refresh();
-    while (!due_.empty() && due_.top().at <= now) {
-        const due top = due_.top();
-        due_.pop();
-        const auto &qry = queries_[top.query];
-        if (qry.live && qry.generation == top.generation &&
-            (now >= qry.end || (qry.at == stage::held && now >= qry.hold_end)))
-            feed(top.query, input::time_up);
-    }
-    drain();
-}
-
 } // namespace
 
-std::uint64_t ring_hash(std::string_view text) { return XXH64(text.data(), text.size(), 0); }
+std::uint64_t ring_hash(std::string_view text) {
+    return XXH64(text.data(), text.size(), 0);
+}
 
 std::unique_ptr<router> make_router(const settings &given, std::uint32_t seed, double now) {
     return std::make_unique<core>(given, seed, now);
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -17,7 +17,7 @@
     // `over`: the query has its final answer, by this outcome or before it.
     virtual void ended(double now, index qry, index execution, outcome result, bool over) = 0;
     virtual void begun(double now, index qry) = 0; // its stream has started and is the client's now
-    virtual void left(double now, index qry) = 0; // the client went; nothing more is owed
+    virtual void left(double now, index qry) = 0;  // the client went; nothing more is owed
     virtual void probed(double now, index server, bool answered) = 0;
     virtual void woken(double now) = 0;
 
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -71,7 +71,15 @@
 };
 
 enum class outcome : std::uint8_t {
-    completed, error, queue_full, timed_out, connect_error, reset, canceled, ignored, miss
+    completed,
+    error,
+    queue_full,
+    timed_out,
+    connect_error,
+    reset,
+    canceled,
+    ignored,
+    miss
 };
 
 enum class action_kind : std::uint8_t { send, cancel, reject, abort, release, probe, wake, subscribe };
--- a/src/simlink/simlink.cpp
+++ b/src/simlink/simlink.cpp
@@ -135,7 +135,8 @@
         to.tenant_quota.push_back(given.number("tenants." + std::to_string(i) + ".quotaRps", 0));
     to.excess_importance = given.number("excessImportance", 1);
     to.peers = std::max<index>(1, given.count("peersTotal", 1));
-    to.origin_kind = given.text("familyInfo.mode") == "aside" ? given.count("familyInfo.originKind", none) : none;
+    to.origin_kind =
+        given.text("familyInfo.mode") == "aside" ? given.count("familyInfo.originKind", none) : none;
     to.weights_live = given.text("weights") == "live";
     to.must_subscribe = given.text("discovery") == "subscribe";
     to.second_copies = given.flag("limits.secondCopies");
@@ -200,7 +201,8 @@
         return static_cast<bool>(std::getline(std::cin, line_));
     }
     void complain(const char *why) const {
-        std::cerr << "harrierpass_simlink: line " << number_ << ": " << why << ": " << line_.substr(0, 80) << '\n';
+        std::cerr << "harrierpass_simlink: line " << number_ << ": " << why << ": " << line_.substr(0, 80)
+                  << '\n';
     }
 
     double now_ = 0;
@@ -359,8 +361,8 @@
         if (found == pools_.end())
             throw bad_line{"unknown list"};
         for (const auto &item : found->second)
-            entries.push_back({to.server(item.id, true), item.id, item.started, item.kind, item.zone, item.cell,
-                               item.weight, item.state});
+            entries.push_back({to.server(item.id, true), item.id, item.started, item.kind, item.zone,
+                               item.cell, item.weight, item.state});
     }
     to.decides->listed(now_, meant, entries);
 }
@@ -395,8 +397,9 @@
 }
 
 void wire_link::attempt_end(instance &to, parts &line) {
-    static constexpr std::array<string_view, 9> codes = {
-        "Ok", "Failed", "QueueFull", "TimedOut", "ConnectError", "ResetByPeer", "Canceled", "Ignored", "Miss"};
+    static constexpr std::array<string_view, 9> codes = {"Ok",       "Failed",       "QueueFull",
+                                                         "TimedOut", "ConnectError", "ResetByPeer",
+                                                         "Canceled", "Ignored",      "Miss"};
     const auto found = to.query_index.find(line.word());
     const auto execution = line.number<index>("the attempt is no number");
     line.word(); // the server is known from the send
@@ -409,13 +412,15 @@
         throw bad_line{"noMore is neither 0 nor 1"};
     if (found == to.query_index.end())
         throw bad_line{"unknown request"};
-    to.decides->ended(now_, found->second, execution, static_cast<outcome>(code - codes.begin()), over == "1");
+    to.decides->ended(now_, found->second, execution, static_cast<outcome>(code - codes.begin()),
+                      over == "1");
 }
 
 void wire_link::put(double seconds) {
     std::array<char, 40> text{};
     const auto end =
-        std::to_chars(text.data(), text.data() + text.size(), seconds * 1000, std::chars_format::fixed, 3).ptr;
+        std::to_chars(text.data(), text.data() + text.size(), seconds * 1000, std::chars_format::fixed, 3)
+            .ptr;
     reply_.append(text.data(), end);
     reply_ += ' ';
 }
