--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -33,10 +33,10 @@
     left
 };
 enum class health : std::uint8_t { ready, cold, suspect };
-enum class sign : std::uint8_t { struck, answered, reborn, warmed };
+enum class sign : std::uint8_t { nothing, struck, answered, reborn, warmed };
 
 struct query {
-    bool live = false;
+    bool live = false; // until the front may use its index again
     stage at = stage::over;
     bool write = false, excess = false, to_origin = false, leads = false, follows = false;
     index use_case = 0, generation = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -56,7 +56,7 @@
           max_executions_(given.max_executions), second_copies_(given.second_copies),
           may_probe_(given.may_probe), may_cancel_(given.may_cancel), weights_live_(given.weights_live),
           must_subscribe_(given.must_subscribe), advice_(given.may_advise ? given.max_advice : 0),
-          start_capacity_(given.start_capacity), cold_time_(given.cold_time), ask_by_(given.must_ask_in) {
+          start_capacity_(given.start_capacity), cold_time_(given.cold_time) {
         shortest_slo_ = use_cases_.empty() ? 1 : use_cases_[0].slo_time;
         for (const auto &each : use_cases_)
             shortest_slo_ = std::min(shortest_slo_, each.slo_time);
@@ -68,26 +68,23 @@
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
     }
 
+    // Reads a table: the row for a state and an input moves the state on and says what is done.
+    template <typename Table, typename Record, typename Input>
+    Input follow(const Table &table, Record &record, index id, Input in) {
+        const auto row = std::find_if(table.begin(), table.end(), [&](const auto &each) {
+            return each.at == record.at && each.in == in;
+        });
+        if (row == table.end())
+            return Input::nothing;
+        record.at = row->next;
+        return (this->*row->effect)(id);
+    }
     void feed(index id, input in) {
-        while (in != input::nothing) {
-            const auto row = std::find_if(query_table.begin(), query_table.end(), [&](const query_row &each) {
-                return each.at == queries_[id].at && each.in == in;
-            });
-            if (row == query_table.end())
-                return;
-            queries_[id].at = row->next;
-            in = (this->*row->effect)(id);
-        }
+        while (in != input::nothing)
+            in = follow(query_table, queries_[id], id, in);
     }
-
     void feel(index id, sign in) {
-        const auto row = std::find_if(server_table.begin(), server_table.end(), [&](const server_row &each) {
-            return each.at == servers_[id].at && each.in == in;
-        });
-        if (row == server_table.end())
-            return;
-        servers_[id].at = row->next;
-        (this->*row->effect)(id);
+        follow(server_table, servers_[id], id, in);
         refresh();
     }
 
@@ -164,7 +161,8 @@
 
     index choose(const query &qry) {
         if (qry.to_origin) {
-            const bool free = origin_ != none && servers_[origin_].in_flight < servers_[origin_].cap;
+            const bool free = origin_ != none && servers_[origin_].state == listing::ready &&
+                              servers_[origin_].in_flight < servers_[origin_].cap;
             return free && may_go(qry, origin_) ? origin_ : none;
         }
         std::array<index, candidate_count> found{};
@@ -199,36 +197,26 @@
     // The earliest execution that is still out or may have run.
     static const execution *first_doubt(const query &qry) {
         for (const auto &each : qry.executions) {
-            const bool proven = each.result == outcome::connect_error || each.result == outcome::queue_full ||
-                                each.result == outcome::ignored || each.result == outcome::miss;
-            if (each.open || !proven)
+            if (each.open || !never_ran(each.result))
                 return &each;
         }
         return nullptr;
     }
 
-    // Guards "no effect twice" for every send after the first.
+    // Guards "no effect twice" for every send after the first and, with no server, for a rejection.
     bool may_go(const query &qry, index id) const {
         const auto *doubt = first_doubt(qry);
-        if (!doubt)
-            return true;
         const auto &use = use_cases_[qry.use_case];
-        if (use.effect == effect_kind::idempotent)
+        if (!doubt || use.effect == effect_kind::idempotent)
             return true;
         if (use.effect == effect_kind::non_idempotent || now_ >= doubt->sent + use.window - end_margin_)
             return false;
-        const auto &was = servers_[doubt->server];
-        const auto &next = servers_[id];
-        return use.group == repeat_group::all || (use.group == repeat_group::zone && was.zone == next.zone) ||
-               (use.group == repeat_group::cell && was.cell == next.cell);
-    }
-
-    bool may_reject(const query &qry) const {
-        const auto *doubt = first_doubt(qry);
-        const auto &use = use_cases_[qry.use_case];
-        return !doubt || use.effect == effect_kind::idempotent ||
-               (use.effect == effect_kind::deduplicated && use.group == repeat_group::all &&
-                now_ < doubt->sent + use.window - end_margin_);
+        const bool anywhere = id == none; // the client may come back through any server
+        return use.group == repeat_group::all ||
+               (!anywhere && use.group == repeat_group::zone &&
+                servers_[doubt->server].zone == servers_[id].zone) ||
+               (!anywhere && use.group == repeat_group::cell &&
+                servers_[doubt->server].cell == servers_[id].cell);
     }
 
     input admit(index id) {
@@ -279,9 +267,8 @@
 
     input finish(index id) {
         auto &qry = queries_[id];
-        const bool reject = may_reject(qry);
-        actions.push_back(
-            {reject ? action_kind::reject : action_kind::abort, id, none, 0, advice_ * qry.excess});
+        const auto kind = may_go(qry, none) ? action_kind::reject : action_kind::abort;
+        actions.push_back({kind, id, none, 0, advice_ * qry.excess});
         return drop(id);
     }
 
@@ -301,11 +288,9 @@
     }
 
     input repeat(index id) {
-        if (repeats_ < 1 || (origin_kind_ != none && queries_[id].to_origin && !queries_[id].write))
-            return input::hopeless;
         const auto &qry = queries_[id];
-        const auto effect = use_cases_[qry.use_case].effect;
-        if (effect == effect_kind::non_idempotent)
+        if (repeats_ < 1 || (qry.to_origin && !qry.write) ||
+            use_cases_[qry.use_case].effect == effect_kind::non_idempotent)
             return input::hopeless;
         --repeats_;
         return input::go;
@@ -376,15 +361,12 @@
             queries_.resize(from.query + 1);
         auto &qry = queries_[from.query];
         const index generation = qry.generation + 1;
-        auto kept = std::move(qry.executions);
-        kept.clear();
         qry = query{};
-        qry.executions = std::move(kept);
         qry.generation = generation;
         qry.live = true;
         qry.at = stage::held;
         qry.write = from.write;
-        qry.use_case = from.use_case < use_cases_.size() ? from.use_case : 0;
+        qry.use_case = from.use_case;
         qry.has_key = from.has_key;
         qry.key = from.key;
         std::array<char, 24> text{};
@@ -439,23 +421,19 @@
         }
         --srv.in_flight;
         total_in_flight_ -= run.server != origin_;
-        if (srv.at == health::suspect && answered && result != outcome::queue_full)
+        if (run.server == origin_)
+            srv.bad = 0; // there is no other origin to turn to
+        else if (srv.at == health::suspect && answered && result != outcome::queue_full)
             feel(run.server, srv.died && run.sent > srv.condemned_at ? sign::reborn : sign::answered);
         else if (srv.bad > bad_limit && worse > 0)
             feel(run.server, sign::struck);
         if (worse == bad_weight)
             srv.died = true;
-        const bool unrun =
-            result == outcome::connect_error || result == outcome::queue_full || result == outcome::ignored;
-        if (qry.at == stage::over) {
-            drop(id);
-        } else {
-            feed(id, over                      ? input::done
-                     : qry.open > 0            ? input::half
-                     : result == outcome::miss ? input::missed
-                     : unrun                   ? input::unrun
-                                               : input::doubtful);
-        }
+        feed(id, over                      ? input::done
+                 : qry.open > 0            ? input::half
+                 : result == outcome::miss ? input::missed
+                 : never_ran(result)       ? input::unrun
+                                           : input::doubtful);
         drain();
     }
 
@@ -477,7 +455,7 @@
     void grow_or_cut(server &srv, double share) {
         srv.slow += slow_weight * (share - srv.slow);
         if (srv.slow <= slow_share) {
-            if (srv.in_flight * 2 >= srv.cap)
+            if (srv.in_flight + 1 > srv.cap)
                 srv.cap += 1 / srv.cap;
         } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
             srv.cap = std::max(least_cap, srv.cap * cut_share);
@@ -485,7 +463,7 @@
         }
     }
 
-    void condemn(index id) {
+    sign condemn(index id) {
         auto &srv = servers_[id];
         srv.condemned_at = now_;
         srv.gap = trial_gap;
@@ -497,28 +475,31 @@
                 qry.executions.back().server == id)
                 feed(each, input::doubted);
         }
+        return sign::nothing;
     }
 
-    void back_off(index id) {
+    sign back_off(index id) {
         auto &srv = servers_[id];
         srv.gap = std::min(most_trial_gap, srv.gap * 2);
         srv.trial_at = now_ + srv.gap;
+        return sign::nothing;
     }
 
-    void restore(index id) {
+    sign restore(index id) {
         auto &srv = servers_[id];
         srv.bad = 0;
         srv.quiet = 0;
         srv.died = false;
+        return sign::nothing;
     }
 
-    void chill(index id) {
+    sign chill(index id) {
         restore(id);
         auto &srv = servers_[id];
-        srv.cold_since = std::max(srv.started, srv.condemned_at) > now_ - cold_time_ ? now_ : srv.started;
-        srv.cold_since = std::max(srv.cold_since, srv.started);
+        srv.cold_since = now_;
         srv.cap = cold_cap;
         srv.slow = 0;
+        return sign::nothing;
     }
 
     void probed(double now, index id, bool answered) override {
@@ -567,11 +548,10 @@
             srv.points = static_cast<index>(
                 std::clamp(std::round(weight * points_per_weight), least_points, most_points));
             if (srv.kind == origin_kind_) {
-                origin_ = srv.state == listing::ready ? entry.server : none;
+                origin_ = entry.server;
                 continue;
             }
             if ((restarted || (fresh && kind == list_kind::changes)) && now - entry.started < cold_time_) {
-                srv.condemned_at = 0;
                 feel(entry.server, sign::reborn);
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
             }
@@ -585,18 +565,14 @@
         drain();
     }
 
-    void ask_for_list() {
-        if (!must_subscribe_ || subscribed_ || now_ < call_at_)
-            return;
-        actions.push_back({action_kind::subscribe, none, none, 0, 0});
-        call_at_ = now_ + std::max(ask_by_ / 2, most_call_gap); // until the answer, which comes in any case
-    }
-
     // The periodic work, then all that has come due.
     void woken(double now) override {
         now_ = now;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
-        ask_for_list();
+        if (must_subscribe_ && !subscribed_ && now >= call_at_) {
+            actions.push_back({action_kind::subscribe, none, none, 0, 0});
+            call_at_ = now + most_call_gap; // the answer comes in any case, mostly before this
+        }
         for (std::size_t i = 0; i < on_ring_.size(); ++i) {
             const index id = on_ring_[i];
             auto &srv = servers_[id];
@@ -623,20 +599,14 @@
     }
 
 private:
-    using query_effect = input (core::*)(index);
-    using server_effect = void (core::*)(index);
-    struct query_row {
-        stage at;
-        input in;
-        stage next;
-        query_effect effect;
-    };
-    struct server_row {
-        health at;
-        sign in;
-        health next;
-        server_effect effect;
+    template <typename State, typename Input> struct table_row {
+        State at;
+        Input in;
+        State next;
+        Input (core::*effect)(index);
     };
+    using query_row = table_row<stage, input>;
+    using server_row = table_row<health, sign>;
     static const std::array<query_row, 17> query_table;
     static const std::array<server_row, 9> server_table;
     input none_more(index) { return input::nothing; }
@@ -659,9 +629,9 @@
     std::priority_queue<due, std::vector<due>, std::greater<>> due_;
     index origin_ = none, origin_kind_, max_executions_, usable_ = 0, total_in_flight_ = 0;
     bool second_copies_, may_probe_, may_cancel_, weights_live_, must_subscribe_, subscribed_ = false;
-    bool mass_doubt_ = false, ring_stale_ = false, draining_ = false;
+    bool mass_doubt_ = false, draining_ = false;
     double advice_, shortest_slo_, mean_answer_, room_ = 0, repeats_ = repeat_burst, end_margin_;
-    double start_capacity_, cold_time_, ask_by_, call_at_ = 0, call_gap_ = first_call_gap;
+    double start_capacity_, cold_time_, call_at_ = 0, call_gap_ = first_call_gap;
 };
 
 // What a query does next. A row that is missing means: nothing happens.
@@ -682,7 +652,7 @@
     {stage::running, input::done, stage::over, &core::drop},
     {stage::running, input::time_up, stage::over, &core::finish},
     {stage::running, input::left, stage::over, &core::drop},
-    {stage::over, input::done, stage::over, &core::none_more},
+    {stage::over, input::done, stage::over, &core::drop},
 }};
 
 // How a server is thought of. `reborn`: its process started anew, so its cache and its speed did too.
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -82,6 +82,12 @@
     miss
 };
 
+// Such an execution is known not to have run.
+inline bool never_ran(outcome result) {
+    return result == outcome::connect_error || result == outcome::queue_full || result == outcome::ignored ||
+           result == outcome::miss;
+}
+
 enum class action_kind : std::uint8_t { send, cancel, reject, abort, release, probe, wake, subscribe };
 
 struct action {
