--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -29,9 +29,9 @@
 constexpr double spill_factor = 2;         // times the mean in flight; the design's
 constexpr double spill_floor = 2;          // queries; the design's
 constexpr double sweep_period = 0.05;      // s; short beside any SLO time, cheap at 20 a second
-constexpr double start_cap = 4;            // executions; a warm server that this proxy knows nothing of
+constexpr double start_cap = 12;           // executions of all proxies at a warm server yet unknown
 constexpr double cold_cap = 1;             // executions; the least that still learns
-constexpr double least_cap = 1;            // executions; a limit never shuts a server off
+constexpr double least_cap = 2;            // executions of all proxies; a limit never shuts a server off
 constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.5;         // of the SLO time; the other half is left for a second try
 constexpr double slow_weight = 0.2;        // of a new answer in the mean; about the last five answers
@@ -52,7 +52,7 @@
 class core final : public router {
 public:
     core(const settings &given, std::uint32_t seed, double now)
-        : now_(now), chance_(seed), use_cases_(given.use_cases), origin_kind_(given.origin_kind),
+        : now_(now), chance_(seed), peers_(given.peers), use_cases_(given.use_cases), origin_kind_(given.origin_kind),
           max_executions_(given.max_executions), second_copies_(given.second_copies),
           may_probe_(given.may_probe), may_cancel_(given.may_cancel), weights_live_(given.weights_live),
           must_subscribe_(given.must_subscribe), advice_(given.may_advise ? given.max_advice : 0),
@@ -162,9 +162,12 @@
     index choose(const query &qry) {
         if (qry.to_origin) {
             const bool free = origin_ != none && servers_[origin_].state == listing::ready &&
-                              servers_[origin_].in_flight < servers_[origin_].cap;
+                              servers_[origin_].in_flight < std::max(1.0, servers_[origin_].cap);
             return free && may_go(qry, origin_) ? origin_ : none;
         }
+        // Guards against many proxies each holding one execution too many at every server.
+        if (total_in_flight_ >= room_)
+            return none;
         std::array<index, candidate_count> found{};
         const std::size_t count = walk(qry.hash, found, [&](index id) {
             const bool tried =
@@ -182,7 +185,7 @@
                 srv.trial_at = now_ + srv.gap;
                 return found[i];
             }
-            if (srv.in_flight >= srv.cap || now_ < srv.full_until)
+            if (srv.in_flight >= std::max(1.0, srv.cap) || now_ < srv.full_until)
                 continue;
             if (srv.in_flight + 1 <= limit)
                 return found[i];
@@ -455,10 +458,10 @@
     void grow_or_cut(server &srv, double share) {
         srv.slow += slow_weight * (share - srv.slow);
         if (srv.slow <= slow_share) {
-            if (srv.in_flight + 1 > srv.cap)
-                srv.cap += 1 / srv.cap;
+            if (srv.in_flight + 1 > srv.cap || total_in_flight_ + 1 > room_)
+                srv.cap += 1 / std::max(1.0, srv.cap);
         } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
-            srv.cap = std::max(least_cap, srv.cap * cut_share);
+            srv.cap = std::max(least_cap / peers_, srv.cap * cut_share);
             srv.cut_at = now_;
         }
     }
@@ -534,7 +537,7 @@
             if (fresh) {
                 srv.id = entry.id;
                 srv.mean = mean_answer_;
-                srv.cap = start_cap;
+                srv.cap = start_cap / peers_;
                 srv.quiet_at = now;
             }
             const bool restarted = entry.started > srv.started;
@@ -618,6 +621,7 @@
     double chance() { return (static_cast<double>(chance_()) - 1) / 2147483646.0; }
     double now_;
     std::minstd_rand chance_;
+    double peers_;
     std::vector<use_case> use_cases_;
     std::vector<tenant_share> tenants_;
     std::vector<query> queries_;
