--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -421,6 +421,8 @@
             srv.slow = std::max(srv.slow, 1.0);
             srv.full_until = now + mean_answer_;
             grow_or_cut(srv, 1);
+        } else if (result == outcome::timed_out) { // guards against a jam whose answers never come to be seen
+            grow_or_cut(srv, std::max(1.0, elapsed / use_cases_[qry.use_case].slo_time));
         }
         --srv.in_flight;
         total_in_flight_ -= run.server != origin_;
