--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -58,6 +58,7 @@
     index in_flight = 0;
     double cap = 0;
     double slow = 0, mean = 0;      // means of answer time / SLO time and of answer time, s
+    double base = 0;                // `slow` at the least cap
     double bad = 0;                 // mean share of broken executions
     double quiet = 0, quiet_at = 0; // execution-seconds without a sign of life, and up to when
     double cold_since = 0, cut_at = 0, full_until = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -34,7 +34,7 @@
 constexpr double least_cap = 2;            // executions of all proxies; a limit never shuts a server off
 constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.5;         // of the SLO time; the other half is left for a second try
-constexpr double origin_slow_share = 1;    // of the SLO time; a late fetch still fills the cache
+constexpr double base_factor = 2;          // times the origin's answer time at its least load; then queues
 constexpr double slow_weight = 0.2;        // of a new answer in the mean; about the last five answers
 constexpr double quiet_limit = 8;          // mean answer times of silence; e^-8 by chance for random work
 constexpr double bad_weight = 0.3;         // of a broken execution in the mean; two in a row condemn
@@ -460,7 +460,12 @@
     // The limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
     void grow_or_cut(server &srv, double share) {
         srv.slow += slow_weight * (share - srv.slow);
-        if (srv.slow <= (srv.kind == origin_kind_ ? origin_slow_share : slow_share)) {
+        // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
+        // slow by its load, and a late fetch still fills the cache.
+        const bool least = srv.cap <= std::max(1.0, least_cap / peers_);
+        if (srv.kind == origin_kind_)
+            srv.base = least ? srv.slow : std::min(srv.base, srv.slow);
+        if (srv.slow <= std::max(slow_share, base_factor * srv.base)) {
             if (srv.in_flight + 1 > srv.cap || (srv.kind != origin_kind_ && total_in_flight_ + 1 > room_))
                 srv.cap += 1 / std::max(1.0, srv.cap);
         } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
