--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -49,11 +49,9 @@
 
 struct server {
     std::string id;
-    listing state = listing::gone;
+    list_entry as; // as last listed, but for the id
     health at = health::ready;
-    bool listed_once = false, died = false;
-    index kind = none, zone = none, cell = none;
-    double started = 0;
+    bool died = false;
     index points = 0, active = 0; // points of its own; those in use now
     index in_flight = 0;
     double cap = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -11,7 +11,6 @@
 #include <array>
 #include <charconv>
 #include <cmath>
-#include <deque>
 #include <queue>
 #include <random>
 #include <string>
@@ -23,7 +22,6 @@
 
 // Every constant, with its unit and the reason for its size.
 constexpr double points_per_weight = 160;  // points; the design's start value, 8% imbalance
-constexpr double least_points = 16;        // points; a server listed with a tiny weight still takes part
 constexpr double most_points = 2560;       // points; bounds the ring's memory when weights are large
 constexpr std::size_t candidate_count = 3; // servers; the design's
 constexpr double spill_factor = 2;         // times the mean in flight; the design's
@@ -53,10 +51,11 @@
 class core final : public router {
 public:
     core(const settings &given, std::uint32_t seed, double now)
-        : now_(now), chance_(seed), peers_(given.peers), use_cases_(given.use_cases), origin_kind_(given.origin_kind),
-          max_executions_(given.max_executions), second_copies_(given.second_copies),
-          may_probe_(given.may_probe), may_cancel_(given.may_cancel), weights_live_(given.weights_live),
-          must_subscribe_(given.must_subscribe), advice_(given.may_advise ? given.max_advice : 0),
+        : now_(now), chance_(seed), peers_(given.peers), use_cases_(given.use_cases),
+          origin_kind_(given.origin_kind), max_executions_(given.max_executions),
+          second_copies_(given.second_copies), may_probe_(given.may_probe), may_cancel_(given.may_cancel),
+          weights_live_(given.weights_live), must_subscribe_(given.must_subscribe),
+          advice_(given.may_advise ? given.max_advice : 0), excess_importance_(given.excess_importance),
           start_capacity_(given.start_capacity), cold_time_(given.cold_time) {
         shortest_slo_ = use_cases_.empty() ? 1 : use_cases_[0].slo_time;
         for (const auto &each : use_cases_)
@@ -97,7 +96,7 @@
         std::string text;
         for (index id = 0; id < servers_.size(); ++id) {
             const auto &srv = servers_[id];
-            if (srv.state != listing::ready || srv.kind == origin_kind_)
+            if (srv.as.state != listing::ready || srv.as.kind == origin_kind_)
                 continue;
             on_ring_.push_back(id);
             for (index order = 0; order < srv.points; ++order) {
@@ -162,7 +161,7 @@
 
     index choose(const query &qry) {
         if (qry.to_origin) {
-            const bool free = origin_ != none && servers_[origin_].state == listing::ready &&
+            const bool free = origin_ != none && servers_[origin_].as.state == listing::ready &&
                               servers_[origin_].in_flight < std::max(1.0, servers_[origin_].cap);
             return free && may_go(qry, origin_) ? origin_ : none;
         }
@@ -218,9 +217,9 @@
         const bool anywhere = id == none; // the client may come back through any server
         return use.group == repeat_group::all ||
                (!anywhere && use.group == repeat_group::zone &&
-                servers_[doubt->server].zone == servers_[id].zone) ||
+                servers_[doubt->server].as.zone == servers_[id].as.zone) ||
                (!anywhere && use.group == repeat_group::cell &&
-                servers_[doubt->server].cell == servers_[id].cell);
+                servers_[doubt->server].as.cell == servers_[id].as.cell);
     }
 
     input admit(index id) {
@@ -254,10 +253,17 @@
         actions.push_back({action_kind::send, id, to, 0, 0});
     }
 
+    // What an answer to a query is worth.
+    double value(index id) const {
+        const auto &qry = queries_[id];
+        return use_cases_[qry.use_case].importance * (qry.excess ? excess_importance_ : 1);
+    }
+
     input queue(index id) {
         auto &qry = queries_[id];
         if (std::find(held_.begin(), held_.end(), id) == held_.end()) {
-            held_.push_back(id);
+            const auto less = [&](index one, index two) { return value(one) > value(two); };
+            held_.insert(std::upper_bound(held_.begin(), held_.end(), id, less), id);
             due_.push({qry.hold_end, id, qry.generation});
         }
         return now_ >= qry.hold_end ? input::hopeless : input::nothing;
@@ -463,10 +469,10 @@
         // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
         // slow by its load, and a late fetch still fills the cache.
         const bool least = srv.cap <= std::max(1.0, least_cap / peers_);
-        if (srv.kind == origin_kind_)
+        if (srv.as.kind == origin_kind_)
             srv.base = least ? srv.slow : std::min(srv.base, srv.slow);
         if (srv.slow <= std::max(slow_share, base_factor * srv.base)) {
-            if (srv.in_flight + 1 > srv.cap || (srv.kind != origin_kind_ && total_in_flight_ + 1 > room_))
+            if (srv.in_flight + 1 > srv.cap || (srv.as.kind != origin_kind_ && total_in_flight_ + 1 > room_))
                 srv.cap += 1 / std::max(1.0, srv.cap);
         } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
             srv.cap = std::max(least_cap / peers_, srv.cap * cut_share);
@@ -525,13 +531,12 @@
     void listed(double now, list_kind kind, std::span<const list_entry> entries) override {
         now_ = now;
         if (kind == list_kind::lost) {
-            subscribed_ = false;
             call_at_ = now + call_gap_ * (0.5 + chance());
             call_gap_ = std::min(most_call_gap, call_gap_ * 2);
             return;
         }
         if (kind != list_kind::cached) {
-            subscribed_ = true;
+            call_at_ = std::numeric_limits<double>::infinity(); // subscribed, until it is lost
             call_gap_ = first_call_gap;
         }
         std::vector<bool> named(servers_.size());
@@ -541,24 +546,19 @@
             named.resize(servers_.size());
             named[entry.server] = true;
             auto &srv = servers_[entry.server];
-            const bool fresh = !srv.listed_once;
+            const bool fresh = srv.as.server == none;
             if (fresh) {
                 srv.id = entry.id;
                 srv.mean = mean_answer_;
                 srv.cap = start_cap / peers_;
                 srv.quiet_at = now;
             }
-            const bool restarted = entry.started > srv.started;
-            srv.listed_once = true;
-            srv.state = entry.state;
-            srv.kind = entry.kind;
-            srv.zone = entry.zone;
-            srv.cell = entry.cell;
-            srv.started = std::max(srv.started, entry.started);
+            const bool restarted = entry.started > srv.as.started;
+            srv.as = entry;
             const double weight = weights_live_ ? 1 : entry.weight;
-            srv.points = static_cast<index>(
-                std::clamp(std::round(weight * points_per_weight), least_points, most_points));
-            if (srv.kind == origin_kind_) {
+            srv.points =
+                static_cast<index>(std::clamp(std::round(weight * points_per_weight), 1.0, most_points));
+            if (srv.as.kind == origin_kind_) {
                 origin_ = entry.server;
                 continue;
             }
@@ -570,7 +570,7 @@
         if (kind != list_kind::changes) // what a whole list leaves out is gone
             for (index id = 0; id < servers_.size(); ++id)
                 if (id >= named.size() || !named[id])
-                    servers_[id].state = listing::gone;
+                    servers_[id].as.state = listing::gone;
         rebuild();
         refresh();
         drain();
@@ -580,7 +580,7 @@
     void woken(double now) override {
         now_ = now;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
-        if (must_subscribe_ && !subscribed_ && now >= call_at_) {
+        if (must_subscribe_ && now >= call_at_) {
             actions.push_back({action_kind::subscribe, none, none, 0, 0});
             call_at_ = now + most_call_gap; // the answer comes in any case, mostly before this
         }
@@ -636,13 +636,14 @@
     std::vector<server> servers_;
     std::vector<point> ring_;
     std::vector<index> on_ring_;
-    std::deque<index> held_;
+    std::vector<index> held_;                          // by importance, then age
     std::unordered_map<std::uint64_t, index> fetches_; // key to the query that fetches it; never iterated
     std::priority_queue<due, std::vector<due>, std::greater<>> due_;
     index origin_ = none, origin_kind_, max_executions_, usable_ = 0, total_in_flight_ = 0;
-    bool second_copies_, may_probe_, may_cancel_, weights_live_, must_subscribe_, subscribed_ = false;
+    bool second_copies_, may_probe_, may_cancel_, weights_live_, must_subscribe_;
     bool mass_doubt_ = false, draining_ = false;
-    double advice_, shortest_slo_, mean_answer_, room_ = 0, repeats_ = repeat_burst, end_margin_;
+    double advice_, excess_importance_, shortest_slo_, mean_answer_, room_ = 0, repeats_ = repeat_burst,
+                                                                     end_margin_;
     double start_capacity_, cold_time_, call_at_ = 0, call_gap_ = first_call_gap;
 };
 
