--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -59,6 +59,8 @@
     double base = 0;                // `slow` at the least cap
     double bad = 0;                 // mean share of broken executions
     double quiet = 0, quiet_at = 0; // execution-seconds without a sign of life, and up to when
+    double pushed = 0,
+           pushed_at = 0; // work sent while cold, in executions, less what the rule's budget lets go
     double cold_since = 0, cut_at = 0, full_until = 0;
     double condemned_at = 0, trial_at = 0, gap = 0;
 };
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -30,6 +30,9 @@
 constexpr double start_cap = 12;           // executions of all proxies at a warm server yet unknown
 constexpr double cold_cap = 1;             // executions; the least that still learns
 constexpr double least_cap = 2;            // executions of all proxies; a limit never shuts a server off
+constexpr double push_part = 0.5;          // of the rule's budget at once, the rest as it drains: any window
+constexpr double rate_memory = 2;          // s of answers behind the rate that a server carries
+constexpr double carried_memory = 60;      // s; what servers carried at their best stays true that long
 constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.5;         // of the SLO time; the other half is left for a second try
 constexpr double base_factor = 2;          // times the origin's answer time at its least load; then queues
@@ -51,16 +54,12 @@
 class core final : public router {
 public:
     core(const settings &given, std::uint32_t seed, double now)
-        : now_(now), chance_(seed), peers_(given.peers), use_cases_(given.use_cases),
-          origin_kind_(given.origin_kind), max_executions_(given.max_executions),
-          second_copies_(given.second_copies), may_probe_(given.may_probe), may_cancel_(given.may_cancel),
-          weights_live_(given.weights_live), must_subscribe_(given.must_subscribe),
-          advice_(given.may_advise ? given.max_advice : 0), excess_importance_(given.excess_importance),
-          start_capacity_(given.start_capacity), cold_time_(given.cold_time) {
-        shortest_slo_ = use_cases_.empty() ? 1 : use_cases_[0].slo_time;
+        : now_(now), chance_(seed), peers_(given.peers), use_cases_(given.use_cases), allow_(given.allow),
+          cold_(given.cold), origin_kind_(given.origin_kind), excess_importance_(given.excess_importance) {
+        double shortest_slo = use_cases_.at(0).slo_time;
         for (const auto &each : use_cases_)
-            shortest_slo_ = std::min(shortest_slo_, each.slo_time);
-        mean_answer_ = shortest_slo_ * slow_share / 2;
+            shortest_slo = std::min(shortest_slo, each.slo_time);
+        mean_answer_ = shortest_slo * slow_share / 2;
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
             tenants_.push_back({quota / given.peers, quota / given.peers, now});
@@ -125,17 +124,28 @@
     }
 
     double warmth(const server &srv) const {
-        if (srv.at != health::cold || cold_time_ <= 0)
+        if (srv.at != health::cold || cold_.warm_time <= 0)
             return 1;
-        const double gone = std::max(0.0, now_ - srv.cold_since) / cold_time_;
-        return std::min(1.0, start_capacity_ + (1 - start_capacity_) * gone);
+        const double gone = std::max(0.0, now_ - srv.cold_since) / cold_.warm_time;
+        return std::min(1.0, cold_.start_capacity + (1 - cold_.start_capacity) * gone);
+    }
+
+    // Guards "no cold server pushed over": this proxy's part of the budget, in executions of mean work. What
+    // warm servers carry stands for the capacity, which is not told and not less.
+    bool may_push(server &srv) const {
+        if (srv.at != health::cold)
+            return true;
+        const double rate = std::max(cold_.fall_multiple * warmth(srv) * carried_, 1 / cold_.fall_time);
+        srv.pushed = std::max(0.0, srv.pushed - (1 - push_part) * rate * (now_ - srv.pushed_at));
+        srv.pushed_at = now_;
+        return srv.pushed + 1 <= std::max(1.0, push_part * rate * cold_.fall_time);
     }
 
     bool usable(index id, const query &qry) const {
         const auto &srv = servers_[id];
         if (srv.at != health::suspect || mass_doubt_)
             return true;
-        return !may_probe_ && now_ >= srv.trial_at && srv.in_flight == 0 && qry.executions.empty() &&
+        return !allow_.may_probe && now_ >= srv.trial_at && srv.in_flight == 0 && qry.executions.empty() &&
                use_cases_[qry.use_case].effect == effect_kind::idempotent;
     }
 
@@ -185,7 +195,7 @@
                 srv.trial_at = now_ + srv.gap;
                 return found[i];
             }
-            if (srv.in_flight >= std::max(1.0, srv.cap) || now_ < srv.full_until)
+            if (srv.in_flight >= std::max(1.0, srv.cap) || now_ < srv.full_until || !may_push(srv))
                 continue;
             if (srv.in_flight + 1 <= limit)
                 return found[i];
@@ -232,7 +242,7 @@
 
     input place(index id) {
         auto &qry = queries_[id];
-        if (qry.executions.size() >= max_executions_ || now_ >= qry.end)
+        if (qry.executions.size() >= allow_.max_executions || now_ >= qry.end)
             return input::hopeless;
         const index to = choose(qry);
         if (to == none)
@@ -244,9 +254,10 @@
     void send(index id, index to) {
         auto &qry = queries_[id];
         auto &srv = servers_[to];
-        leave_wait(id);
+        std::erase(held_, id);
         took(srv);
         ++srv.in_flight;
+        ++srv.pushed;
         total_in_flight_ += to != origin_;
         ++qry.open;
         qry.executions.push_back({to, now_});
@@ -269,22 +280,16 @@
         return now_ >= qry.hold_end ? input::hopeless : input::nothing;
     }
 
-    void leave_wait(index id) {
-        const auto found = std::find(held_.begin(), held_.end(), id);
-        if (found != held_.end())
-            held_.erase(found);
-    }
-
     input finish(index id) {
         auto &qry = queries_[id];
         const auto kind = may_go(qry, none) ? action_kind::reject : action_kind::abort;
-        actions.push_back({kind, id, none, 0, advice_ * qry.excess});
+        actions.push_back({kind, id, none, 0, allow_.max_advice * qry.excess});
         return drop(id);
     }
 
     input drop(index id) {
         auto &qry = queries_[id];
-        leave_wait(id);
+        std::erase(held_, id);
         if (qry.leads) {
             fetches_.erase(qry.key);
             qry.leads = false;
@@ -313,7 +318,7 @@
             return input::hopeless;
         qry.hold_end = std::max(qry.hold_end, now_ + use_cases_[qry.use_case].slo_time * hold_share);
         qry.hold_end = std::min(qry.hold_end, qry.end);
-        if (qry.has_key && fetches_.contains(qry.key) && qry.executions.size() + 2 <= max_executions_) {
+        if (qry.has_key && fetches_.contains(qry.key) && qry.executions.size() + 2 <= allow_.max_executions) {
             qry.follows = true;
             return input::wait;
         }
@@ -329,10 +334,10 @@
     input rescue(index id) {
         auto &qry = queries_[id];
         if (use_cases_[qry.use_case].effect == effect_kind::non_idempotent || qry.open > 1 || repeats_ < 1 ||
-            qry.executions.size() >= max_executions_ || now_ >= qry.end)
+            qry.executions.size() >= allow_.max_executions || now_ >= qry.end)
             return input::nothing;
-        if (!second_copies_) {
-            if (may_cancel_)
+        if (!allow_.second_copies) {
+            if (allow_.may_cancel)
                 actions.push_back(
                     {action_kind::cancel, id, none, static_cast<index>(qry.executions.size() - 1), 0});
             return input::nothing;
@@ -345,24 +350,16 @@
         return input::nothing;
     }
 
+    // Room may have come free: those who wait longest for what is worth most go first.
     void drain() {
-        if (draining_)
-            return;
-        draining_ = true;
-        std::size_t looked = 0;
-        for (std::size_t i = 0; i < held_.size() && looked < drain_batch; ++looked) {
-            const index id = held_[i];
+        const auto count = static_cast<std::ptrdiff_t>(std::min(drain_batch, held_.size()));
+        const std::vector<index> waiting(held_.begin(), held_.begin() + count);
+        for (index id : waiting) {
             auto &qry = queries_[id];
-            if (qry.follows && fetches_.contains(qry.key)) {
-                ++i;
-                continue;
-            }
-            qry.follows = false;
-            feed(id, input::go);
-            if (i < held_.size() && held_[i] == id)
-                ++i;
+            qry.follows = qry.follows && fetches_.contains(qry.key);
+            if (!qry.follows)
+                feed(id, input::go);
         }
-        draining_ = false;
     }
 
     void arrived(double now, const new_query &from) override {
@@ -421,6 +418,8 @@
                                                                                           : 0;
         srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
         if (result == outcome::completed || result == outcome::miss) {
+            srv.pushed += std::max(0.0, elapsed / mean_answer_ - 1); // it was more work than it was taken for
+            answers_ += run.server != origin_;
             srv.mean += slow_weight * (elapsed - srv.mean);
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
             grow_or_cut(srv, elapsed / use_cases_[qry.use_case].slo_time);
@@ -441,11 +440,11 @@
             feel(run.server, sign::struck);
         if (worse == bad_weight)
             srv.died = true;
-        feed(id, over                      ? input::done
-                 : qry.open > 0            ? input::half
-                 : result == outcome::miss ? input::missed
-                 : never_ran(result)       ? input::unrun
-                                           : input::doubtful);
+        feed(id, over || qry.at == stage::over ? input::done
+                 : qry.open > 0                ? input::half
+                 : result == outcome::miss     ? input::missed
+                 : never_ran(result)           ? input::unrun
+                                               : input::doubtful);
         drain();
     }
 
@@ -513,7 +512,8 @@
     sign chill(index id) {
         restore(id);
         auto &srv = servers_[id];
-        srv.cold_since = now_;
+        srv.cold_since = srv.pushed_at = now_;
+        srv.pushed = 0;
         srv.cap = cold_cap;
         srv.slow = 0;
         return sign::nothing;
@@ -555,14 +555,15 @@
             }
             const bool restarted = entry.started > srv.as.started;
             srv.as = entry;
-            const double weight = weights_live_ ? 1 : entry.weight;
+            const double weight = allow_.weights_live ? 1 : entry.weight;
             srv.points =
                 static_cast<index>(std::clamp(std::round(weight * points_per_weight), 1.0, most_points));
             if (srv.as.kind == origin_kind_) {
                 origin_ = entry.server;
                 continue;
             }
-            if ((restarted || (fresh && kind == list_kind::changes)) && now - entry.started < cold_time_) {
+            if ((restarted || (fresh && kind == list_kind::changes)) &&
+                now - entry.started < cold_.warm_time) {
                 feel(entry.server, sign::reborn);
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
             }
@@ -580,7 +581,7 @@
     void woken(double now) override {
         now_ = now;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
-        if (must_subscribe_ && now >= call_at_) {
+        if (allow_.must_subscribe && now >= call_at_) {
             actions.push_back({action_kind::subscribe, none, none, 0, 0});
             call_at_ = now + most_call_gap; // the answer comes in any case, mostly before this
         }
@@ -592,11 +593,14 @@
                 feel(id, sign::struck);
             if (srv.at == health::cold && warmth(srv) >= 1)
                 feel(id, sign::warmed);
-            if (srv.at == health::suspect && may_probe_ && now >= srv.trial_at) {
+            if (srv.at == health::suspect && allow_.may_probe && now >= srv.trial_at) {
                 actions.push_back({action_kind::probe, none, id, 0, 0});
                 srv.trial_at = now + srv.gap;
             }
         }
+        rate_ += sweep_period / rate_memory * (answers_ / sweep_period / std::max<index>(1, usable_) - rate_);
+        carried_ = std::max(rate_, carried_ * (1 - sweep_period / carried_memory));
+        answers_ = 0;
         refresh();
         while (!due_.empty() && due_.top().at <= now) {
             const due top = due_.top();
@@ -618,8 +622,8 @@
     };
     using query_row = table_row<stage, input>;
     using server_row = table_row<health, sign>;
-    static const std::array<query_row, 17> query_table;
-    static const std::array<server_row, 9> server_table;
+    static const std::array<query_row, 16> query_table;
+    static const std::array<server_row, 8> server_table;
     input none_more(index) { return input::nothing; }
     input retry(index) { return input::go; }
     void took(server &srv) {
@@ -631,6 +635,10 @@
     std::minstd_rand chance_;
     double peers_;
     std::vector<use_case> use_cases_;
+    allowances allow_;
+    cold_rule cold_;
+    index origin_kind_;
+    double excess_importance_;
     std::vector<tenant_share> tenants_;
     std::vector<query> queries_;
     std::vector<server> servers_;
@@ -639,16 +647,16 @@
     std::vector<index> held_;                          // by importance, then age
     std::unordered_map<std::uint64_t, index> fetches_; // key to the query that fetches it; never iterated
     std::priority_queue<due, std::vector<due>, std::greater<>> due_;
-    index origin_ = none, origin_kind_, max_executions_, usable_ = 0, total_in_flight_ = 0;
-    bool second_copies_, may_probe_, may_cancel_, weights_live_, must_subscribe_;
-    bool mass_doubt_ = false, draining_ = false;
-    double advice_, excess_importance_, shortest_slo_, mean_answer_, room_ = 0, repeats_ = repeat_burst,
-                                                                     end_margin_;
-    double start_capacity_, cold_time_, call_at_ = 0, call_gap_ = first_call_gap;
+    index origin_ = none, usable_ = 0, total_in_flight_ = 0;
+    bool mass_doubt_ = false;
+    double mean_answer_, room_ = 0, repeats_ = repeat_burst, end_margin_;
+    double answers_ = 0, rate_ = 0,
+           carried_ = 0; // since the last sweep; a second at one server, now, at best
+    double call_at_ = 0, call_gap_ = first_call_gap;
 };
 
 // What a query does next. A row that is missing means: nothing happens.
-const std::array<core::query_row, 17> core::query_table = {{
+const std::array<core::query_row, 16> core::query_table = {{
     {stage::held, input::arrives, stage::held, &core::admit},
     {stage::held, input::go, stage::held, &core::place},
     {stage::held, input::sent, stage::running, &core::none_more},
@@ -656,7 +664,6 @@
     {stage::held, input::hopeless, stage::over, &core::finish},
     {stage::held, input::time_up, stage::over, &core::finish},
     {stage::held, input::left, stage::over, &core::drop},
-    {stage::held, input::done, stage::over, &core::drop},
     {stage::running, input::unrun, stage::held, &core::retry},
     {stage::running, input::doubtful, stage::held, &core::repeat},
     {stage::running, input::missed, stage::held, &core::fetch},
@@ -669,7 +676,7 @@
 }};
 
 // How a server is thought of. `reborn`: its process started anew, so its cache and its speed did too.
-const std::array<core::server_row, 9> core::server_table = {{
+const std::array<core::server_row, 8> core::server_table = {{
     {health::ready, sign::struck, health::suspect, &core::condemn},
     {health::cold, sign::struck, health::suspect, &core::condemn},
     {health::suspect, sign::struck, health::suspect, &core::back_off},
@@ -678,7 +685,6 @@
     {health::ready, sign::reborn, health::cold, &core::chill},
     {health::cold, sign::reborn, health::cold, &core::chill},
     {health::cold, sign::warmed, health::ready, &core::restore},
-    {health::suspect, sign::warmed, health::suspect, &core::back_off},
 }};
 
 } // namespace
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -24,26 +24,33 @@
     double tardy = 0; // share of the importance left after the SLO time
 };
 
+// What a deployment allows and asks of its proxies.
+struct allowances {
+    bool second_copies = false; // one query may have two executions out
+    bool may_cancel = false;
+    bool may_probe = false;
+    bool must_subscribe = false; // the list tells changes only to those who asked
+    bool weights_live = false;
+    index max_executions = 1;
+    double max_advice = 0; // s, the longest wait that a rejection may advise; 0: none
+};
+
+struct cold_rule {
+    double start_capacity = 1; // share of its capacity that a started server has at least
+    double warm_time = 0;      // s until it is warm at the latest
+    double fall_multiple = 1;  // times its capacity of the moment ...
+    double fall_time = 0;      // ... for so many s push it over
+};
+
 struct settings {
+    allowances allow;
+    cold_rule cold;
     std::vector<use_case> use_cases;
     std::vector<double> tenant_quota; // queries a second inside each tenant's share, over all proxies
     double excess_importance = 1;     // what a query beyond the share is worth, as a share of its importance
     index peers = 1;                  // proxies in all, this one included
     index origin_kind = none;         // aside mode: the kind of the list's origin entry
-    bool weights_live = false;
-    bool must_subscribe = false;
-    bool second_copies = false;
-    bool may_cancel = false;
-    bool may_probe = false;
-    bool may_advise = false; // a rejection may say when to come back
-    double max_advice = 0;
-    index max_executions = 1;
-    double tick = 0.005; // shortest time between two batches of events
-    double must_ask_in = 0;
-    double start_capacity = 1;
-    double cold_time = 0;
-    double fall_multiple = 1;
-    double fall_time = 0;
+    double tick = 0.005;              // shortest time between two batches of events
 };
 
 enum class listing : std::uint8_t { ready, draining, gone };
--- a/src/simlink/simlink.cpp
+++ b/src/simlink/simlink.cpp
@@ -137,20 +137,19 @@
     to.peers = std::max<index>(1, given.count("peersTotal", 1));
     to.origin_kind =
         given.text("familyInfo.mode") == "aside" ? given.count("familyInfo.originKind", none) : none;
-    to.weights_live = given.text("weights") == "live";
-    to.must_subscribe = given.text("discovery") == "subscribe";
-    to.second_copies = given.flag("limits.secondCopies");
-    to.may_cancel = given.flag("limits.cancel");
-    to.may_probe = given.flag("limits.probes");
-    to.may_advise = given.flag("limits.retryAfter");
-    to.max_advice = given.seconds("limits.maxRetryAfterMs", 0);
-    to.max_executions = given.count("limits.maxExecutions", 1);
+    to.allow.weights_live = given.text("weights") == "live";
+    to.allow.must_subscribe = given.text("discovery") == "subscribe";
+    to.allow.second_copies = given.flag("limits.secondCopies");
+    to.allow.may_cancel = given.flag("limits.cancel");
+    to.allow.may_probe = given.flag("limits.probes");
+    if (given.flag("limits.retryAfter"))
+        to.allow.max_advice = given.seconds("limits.maxRetryAfterMs", 0);
+    to.allow.max_executions = given.count("limits.maxExecutions", 1);
     to.tick = given.seconds("tickMs", 0.005);
-    to.must_ask_in = given.seconds("rules.mustAskInMs", 0);
-    to.start_capacity = given.number("rules.startCapacity", 1);
-    to.cold_time = given.seconds("rules.coldMs", 0);
-    to.fall_multiple = given.number("rules.fallMultiple", 1);
-    to.fall_time = given.seconds("rules.fallMs", 0);
+    to.cold.start_capacity = given.number("rules.startCapacity", 1);
+    to.cold.warm_time = given.seconds("rules.coldMs", 0);
+    to.cold.fall_multiple = given.number("rules.fallMultiple", 1);
+    to.cold.fall_time = std::max(0.001, given.seconds("rules.fallMs", 1));
     return to;
 }
 
