--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -4,7 +4,11 @@
 
 #include "router/types.hpp"
 
+#include <functional>
+#include <queue>
+#include <random>
 #include <string>
+#include <unordered_map>
 
 namespace harrierpass {
 
@@ -83,4 +87,39 @@
     bool operator>(const due &that) const { return at > that.at; }
 };
 
+// All that one router knows: what its settings came to, and what it saw.
+struct memory {
+    memory(const settings &given, std::uint32_t seed, double now)
+        : now_(now), chance_(seed), use_cases_(given.use_cases), allow_(given.allow), cold_(given.cold),
+          peers_(given.peers), excess_importance_(given.excess_importance), origin_kind_(given.origin_kind) {}
+
+    double now_;
+    std::minstd_rand chance_;
+    std::vector<use_case> use_cases_;
+    allowances allow_;
+    cold_rule cold_;
+    double peers_, excess_importance_;
+    double end_margin_ = 0; // s before the statement timeout at which a query gets its final answer
+    index origin_kind_, origin_ = none;
+
+    std::vector<tenant_share> tenants_;
+    std::vector<query> queries_;
+    std::vector<index> held_;                          // by importance, then age
+    std::unordered_map<std::uint64_t, index> fetches_; // key to the query that fetches it; never iterated
+    std::priority_queue<due, std::vector<due>, std::greater<>> due_;
+    double repeats_ = 0; // further executions that may follow ones that may have run
+
+    std::vector<server> servers_;
+    std::vector<point> ring_;
+    std::vector<index> on_ring_;
+    index usable_ = 0, total_in_flight_ = 0; // servers to choose from; executions at all of them
+    double room_ = 0;                        // sum of their caps
+    double mean_answer_ = 0;                 // s
+    double answers_ = 0;                     // since the last sweep
+    double rate_ = 0, carried_ = 0;          // answers a second of one server: now, at best
+    bool mass_doubt_ = false;                // so many are suspect that suspicion is not to be trusted
+
+    double call_at_ = 0, call_gap_ = 0; // when the list is asked for next; s between calls
+};
+
 } // namespace harrierpass
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -11,10 +11,6 @@
 #include <array>
 #include <charconv>
 #include <cmath>
-#include <queue>
-#include <random>
-#include <string>
-#include <unordered_map>
 #include <xxhash.h>
 
 namespace harrierpass {
@@ -51,11 +47,9 @@
 constexpr double first_call_gap = 0.5;     // s between calls for the list after a lost one, doubling
 constexpr double most_call_gap = 8;        // s; the list service is never loaded by waiting proxies
 
-class core final : public router {
+class core final : public router, private memory {
 public:
-    core(const settings &given, std::uint32_t seed, double now)
-        : now_(now), chance_(seed), peers_(given.peers), use_cases_(given.use_cases), allow_(given.allow),
-          cold_(given.cold), origin_kind_(given.origin_kind), excess_importance_(given.excess_importance) {
+    core(const settings &given, std::uint32_t seed, double now) : memory(given, seed, now) {
         double shortest_slo = use_cases_.at(0).slo_time;
         for (const auto &each : use_cases_)
             shortest_slo = std::min(shortest_slo, each.slo_time);
@@ -63,7 +57,9 @@
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
             tenants_.push_back({quota / given.peers, quota / given.peers, now});
-        call_at_ = now + chance() * first_call_gap;
+        repeats_ = repeat_burst;
+        call_gap_ = first_call_gap;
+        call_at_ = now + chance() * call_gap_;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
     }
 
@@ -631,28 +627,6 @@
         srv.quiet_at = now_;
     }
     double chance() { return (static_cast<double>(chance_()) - 1) / 2147483646.0; }
-    double now_;
-    std::minstd_rand chance_;
-    double peers_;
-    std::vector<use_case> use_cases_;
-    allowances allow_;
-    cold_rule cold_;
-    index origin_kind_;
-    double excess_importance_;
-    std::vector<tenant_share> tenants_;
-    std::vector<query> queries_;
-    std::vector<server> servers_;
-    std::vector<point> ring_;
-    std::vector<index> on_ring_;
-    std::vector<index> held_;                          // by importance, then age
-    std::unordered_map<std::uint64_t, index> fetches_; // key to the query that fetches it; never iterated
-    std::priority_queue<due, std::vector<due>, std::greater<>> due_;
-    index origin_ = none, usable_ = 0, total_in_flight_ = 0;
-    bool mass_doubt_ = false;
-    double mean_answer_, room_ = 0, repeats_ = repeat_burst, end_margin_;
-    double answers_ = 0, rate_ = 0,
-           carried_ = 0; // since the last sweep; a second at one server, now, at best
-    double call_at_ = 0, call_gap_ = first_call_gap;
 };
 
 // What a query does next. A row that is missing means: nothing happens.
