--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -26,6 +26,7 @@
 constexpr double start_cap = 12;           // executions of all proxies at a warm server yet unknown
 constexpr double cold_cap = 1;             // executions; the least that still learns
 constexpr double least_cap = 2;            // executions of all proxies; a limit never shuts a server off
+constexpr index nobody = none - 1;         // where no server may take a query, now or later
 constexpr double push_part = 0.5;          // of the rule's budget at once, the rest as it drains: any window
 constexpr double rate_memory = 2;          // s of answers behind the rate that a server carries
 constexpr double carried_memory = 60;      // s; what servers carried at their best stays true that long
@@ -91,7 +92,7 @@
         std::string text;
         for (index id = 0; id < servers_.size(); ++id) {
             const auto &srv = servers_[id];
-            if (srv.as.state != listing::ready || srv.as.kind == origin_kind_)
+            if (srv.as.state != listing::ready || is_origin(srv))
                 continue;
             on_ring_.push_back(id);
             for (index order = 0; order < srv.points; ++order) {
@@ -184,7 +185,7 @@
         });
         const double mean = (total_in_flight_ + 1.0) / std::max<index>(1, usable_);
         const double limit = std::max(spill_floor, std::ceil(spill_factor * mean));
-        index best = none;
+        index best = count > 0 || on_ring_.empty() ? none : nobody;
         for (std::size_t i = 0; i < count; ++i) {
             auto &srv = servers_[found[i]];
             if (srv.at == health::suspect && !mass_doubt_) {
@@ -195,7 +196,7 @@
                 continue;
             if (srv.in_flight + 1 <= limit)
                 return found[i];
-            if (best == none || srv.in_flight < servers_[best].in_flight)
+            if (best >= nobody || srv.in_flight < servers_[best].in_flight)
                 best = found[i];
         }
         return best;
@@ -241,8 +242,8 @@
         if (qry.executions.size() >= allow_.max_executions || now_ >= qry.end)
             return input::hopeless;
         const index to = choose(qry);
-        if (to == none)
-            return input::wait;
+        if (to == none || to == nobody)
+            return to == none ? input::wait : input::hopeless;
         send(id, to);
         return input::sent;
     }
@@ -339,7 +340,7 @@
             return input::nothing;
         }
         const index to = choose(qry);
-        if (to != none) {
+        if (to < servers_.size()) {
             --repeats_;
             send(id, to);
         }
@@ -464,10 +465,10 @@
         // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
         // slow by its load, and a late fetch still fills the cache.
         const bool least = srv.cap <= std::max(1.0, least_cap / peers_);
-        if (srv.as.kind == origin_kind_)
+        if (is_origin(srv))
             srv.base = least ? srv.slow : std::min(srv.base, srv.slow);
         if (srv.slow <= std::max(slow_share, base_factor * srv.base)) {
-            if (srv.in_flight + 1 > srv.cap || (srv.as.kind != origin_kind_ && total_in_flight_ + 1 > room_))
+            if (srv.in_flight + 1 > srv.cap || (!is_origin(srv) && total_in_flight_ + 1 > room_))
                 srv.cap += 1 / std::max(1.0, srv.cap);
         } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
             srv.cap = std::max(least_cap / peers_, srv.cap * cut_share);
@@ -554,7 +555,7 @@
             const double weight = allow_.weights_live ? 1 : entry.weight;
             srv.points =
                 static_cast<index>(std::clamp(std::round(weight * points_per_weight), 1.0, most_points));
-            if (srv.as.kind == origin_kind_) {
+            if (is_origin(srv)) {
                 origin_ = entry.server;
                 continue;
             }
@@ -622,6 +623,7 @@
     static const std::array<server_row, 8> server_table;
     input none_more(index) { return input::nothing; }
     input retry(index) { return input::go; }
+    bool is_origin(const server &srv) const { return origin_kind_ != none && srv.as.kind == origin_kind_; }
     void took(server &srv) {
         srv.quiet += srv.in_flight * (now_ - srv.quiet_at);
         srv.quiet_at = now_;
--- /dev/null
+++ b/tests/script.hpp
@@ -0,0 +1,202 @@
+// SPDX-License-Identifier: Apache-2.0
+// Plays a script of events to a router and writes it out again with the decisions taken after each event.
+// A line that starts with a digit is an event at that time; decisions are indented; the first lines set up.
+#pragma once
+
+#include "router/router.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <map>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+
+namespace harrierpass::test {
+
+inline std::string read_file(const std::string &path) {
+    std::ifstream in(path);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+class script {
+public:
+    std::string play(const std::string &text) {
+        std::istringstream lines(text);
+        for (std::string line; std::getline(lines, line);) {
+            if (line.starts_with("    ") || line.empty())
+                continue; // a decision of the kept trace
+            out_ << line << '\n';
+            if (line[0] == '#')
+                continue;
+            std::istringstream words(line);
+            if (line[0] >= '0' && line[0] <= '9') {
+                if (!router_)
+                    router_ = make_router(settings_, 1, 0);
+                event(words);
+                print();
+            } else {
+                set_up(words);
+            }
+        }
+        return out_.str();
+    }
+
+private:
+    static constexpr std::array<const char *, 9> outcomes = {"completed", "error",         "queue_full",
+                                                             "timed_out", "connect_error", "reset",
+                                                             "canceled",  "ignored",       "miss"};
+
+    void set_up(std::istringstream &words) {
+        std::string name;
+        words >> name;
+        if (name == "use_case") {
+            use_case use;
+            std::string effect, group;
+            words >> effect >> group >> use.window >> use.slo_time >> use.importance;
+            use.effect = effect == "idempotent"     ? effect_kind::idempotent
+                         : effect == "deduplicated" ? effect_kind::deduplicated
+                                                    : effect_kind::non_idempotent;
+            use.group = group == "all"    ? repeat_group::all
+                        : group == "zone" ? repeat_group::zone
+                                          : repeat_group::cell;
+            settings_.use_cases.push_back(use);
+            return;
+        }
+        double value = 0;
+        words >> value;
+        const std::map<std::string, double *> numbers = {{"start_capacity", &settings_.cold.start_capacity},
+                                                         {"warm_time", &settings_.cold.warm_time},
+                                                         {"fall_multiple", &settings_.cold.fall_multiple},
+                                                         {"fall_time", &settings_.cold.fall_time},
+                                                         {"max_advice", &settings_.allow.max_advice},
+                                                         {"excess_importance", &settings_.excess_importance}};
+        const std::map<std::string, bool *> flags = {{"second_copies", &settings_.allow.second_copies},
+                                                     {"may_cancel", &settings_.allow.may_cancel},
+                                                     {"may_probe", &settings_.allow.may_probe},
+                                                     {"must_subscribe", &settings_.allow.must_subscribe}};
+        const std::map<std::string, index *> counts = {{"max_executions", &settings_.allow.max_executions},
+                                                       {"peers", &settings_.peers},
+                                                       {"origin_kind", &settings_.origin_kind}};
+        if (numbers.contains(name))
+            *numbers.at(name) = value;
+        else if (flags.contains(name))
+            *flags.at(name) = value != 0;
+        else if (counts.contains(name))
+            *counts.at(name) = static_cast<index>(value);
+        else if (name == "tenant")
+            settings_.tenant_quota.push_back(value);
+        else
+            throw std::runtime_error("unknown setting " + name);
+    }
+
+    index server(const std::string &name) {
+        const auto found = std::find(names_.begin(), names_.end(), name);
+        if (found == names_.end())
+            names_.push_back(name);
+        return static_cast<index>(std::find(names_.begin(), names_.end(), name) - names_.begin());
+    }
+
+    // TIME list KIND {NAME[/KIND][@ZONE][*STARTED][!|-]} | query ID USE [key=K] [tenant=T] [write] end=T
+    //   | end ID EXECUTION OUTCOME [over] | begun ID | left ID | probed NAME 0/1 | wake [UNTIL]
+    void event(std::istringstream &words) {
+        double now = 0;
+        std::string what, word;
+        words >> now >> what;
+        if (what == "list") {
+            words >> word;
+            const list_kind kind = word == "changes"  ? list_kind::changes
+                                   : word == "whole"  ? list_kind::whole
+                                   : word == "cached" ? list_kind::cached
+                                                      : list_kind::lost;
+            std::vector<list_entry> entries;
+            for (std::string item; words >> item;) {
+                list_entry entry;
+                entry.state = item.back() == '!'   ? listing::draining
+                              : item.back() == '-' ? listing::gone
+                                                   : entry.state;
+                const auto field = [&](char mark) {
+                    const auto at = item.find(mark);
+                    return at == std::string::npos ? 0.0 : std::stod(item.substr(at + 1));
+                };
+                entry.kind = static_cast<index>(field('/'));
+                entry.zone = static_cast<index>(field('@'));
+                entry.cell = entry.zone;
+                entry.started = field('*');
+                entry.server = server(item.substr(0, item.find_first_of("/@*!-")));
+                entries.push_back(entry);
+            }
+            for (auto &entry : entries) // names_ holds still now
+                entry.id = names_[entry.server];
+            router_->listed(now, kind, entries);
+        } else if (what == "query") {
+            new_query made;
+            words >> made.query >> made.use_case;
+            for (std::string item; words >> item;) {
+                made.write = made.write || item == "write";
+                if (item.starts_with("key="))
+                    made.has_key = true, made.key = std::stoull(item.substr(4));
+                if (item.starts_with("tenant="))
+                    made.tenant = static_cast<index>(std::stoul(item.substr(7)));
+                if (item.starts_with("end="))
+                    made.statement_end = std::stod(item.substr(4));
+            }
+            router_->arrived(now, made);
+        } else if (what == "end") {
+            index query = 0, execution = 0;
+            std::string over;
+            words >> query >> execution >> word >> over;
+            const auto at = std::find(outcomes.begin(), outcomes.end(), word) - outcomes.begin();
+            router_->ended(now, query, execution, static_cast<outcome>(at), over == "over");
+        } else if (what == "begun" || what == "left") {
+            index query = 0;
+            words >> query;
+            what == "begun" ? router_->begun(now, query) : router_->left(now, query);
+        } else if (what == "probed") {
+            bool answered = false;
+            words >> word >> answered;
+            router_->probed(now, server(word), answered);
+        } else if (what == "wake") {
+            double until = now;
+            words >> until;
+            for (; now <= until + 1e-9; now += 0.05) {
+                router_->woken(now);
+                print(now);
+            }
+        } else {
+            throw std::runtime_error("unknown event " + what);
+        }
+    }
+
+    void print(double at = -1) {
+        static constexpr std::array<const char *, 8> kinds = {"send",    "cancel", "reject", "abort",
+                                                              "release", "probe",  "wake",   "subscribe"};
+        for (const auto &act : router_->actions) {
+            if (act.kind == action_kind::wake)
+                continue;
+            out_ << "    " << kinds[static_cast<std::size_t>(act.kind)];
+            if (act.query != none)
+                out_ << ' ' << act.query;
+            if (act.kind == action_kind::cancel)
+                out_ << '.' << act.execution;
+            if (act.server != none)
+                out_ << " -> " << names_[act.server];
+            if (act.time > 0)
+                out_ << " back in " << act.time;
+            if (at >= 0)
+                out_ << " at " << at;
+            out_ << '\n';
+        }
+        router_->actions.clear();
+    }
+
+    settings settings_;
+    std::unique_ptr<router> router_;
+    std::vector<std::string> names_;
+    std::ostringstream out_;
+};
+
+} // namespace harrierpass::test
