--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -51,6 +51,14 @@
     std::vector<execution> executions;
 };
 
+// On executions in flight.
+struct limit {
+    double cap = 0;
+    double slow = 0;   // mean of answer time / SLO time
+    double base = 0;   // `slow` at the least cap, where that is no fault of the load
+    double cut_at = 0; // s
+};
+
 struct server {
     std::string id;
     list_entry as; // as last listed, but for the id
@@ -58,14 +66,13 @@
     bool died = false;
     index points = 0, active = 0; // points of its own; those in use now
     index in_flight = 0;
-    double cap = 0;
-    double slow = 0, mean = 0;      // means of answer time / SLO time and of answer time, s
-    double base = 0;                // `slow` at the least cap
+    limit lim;
+    double mean = 0;                // of answer times, s
     double bad = 0;                 // mean share of broken executions
     double quiet = 0, quiet_at = 0; // execution-seconds without a sign of life, and up to when
     double pushed = 0,
            pushed_at = 0; // work sent while cold, in executions, less what the rule's budget lets go
-    double cold_since = 0, cut_at = 0, full_until = 0;
+    double cold_since = 0, full_until = 0;
     double condemned_at = 0, trial_at = 0, gap = 0;
 };
 
@@ -113,6 +120,7 @@
     std::vector<point> ring_;
     std::vector<index> on_ring_;
     index usable_ = 0, total_in_flight_ = 0; // servers to choose from; executions at all of them
+    limit all_;                              // on executions at all of them
     double room_ = 0;                        // sum of their caps
     double mean_answer_ = 0;                 // s
     double answers_ = 0;                     // since the last sweep
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -33,6 +33,7 @@
 constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.5;         // of the SLO time; the other half is left for a second try
 constexpr double base_factor = 2;          // times the origin's answer time at its least load; then queues
+constexpr double all_weight = 0.05;        // of a new answer in the mean of all servers; the last twenty
 constexpr double slow_weight = 0.2;        // of a new answer in the mean; about the last five answers
 constexpr double quiet_limit = 8;          // mean answer times of silence; e^-8 by chance for random work
 constexpr double bad_weight = 0.3;         // of a broken execution in the mean; two in a row condemn
@@ -113,8 +114,9 @@
             active += srv.active > 0;
             suspects += srv.at == health::suspect;
             if (srv.at != health::suspect)
-                room_ += srv.cap;
+                room_ += srv.lim.cap;
         }
+        room_ = std::min(room_, all_.cap);
         // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
         mass_doubt_ = suspects * 2 > on_ring_.size();
         usable_ = static_cast<index>(mass_doubt_ ? active : active - suspects);
@@ -169,7 +171,7 @@
     index choose(const query &qry) {
         if (qry.to_origin) {
             const bool free = origin_ != none && servers_[origin_].as.state == listing::ready &&
-                              servers_[origin_].in_flight < std::max(1.0, servers_[origin_].cap);
+                              servers_[origin_].in_flight < std::max(1.0, servers_[origin_].lim.cap);
             return free && may_go(qry, origin_) ? origin_ : none;
         }
         // Guards against many proxies each holding one execution too many at every server.
@@ -192,7 +194,7 @@
                 srv.trial_at = now_ + srv.gap;
                 return found[i];
             }
-            if (srv.in_flight >= std::max(1.0, srv.cap) || now_ < srv.full_until || !may_push(srv))
+            if (srv.in_flight >= std::max(1.0, srv.lim.cap) || now_ < srv.full_until || !may_push(srv))
                 continue;
             if (srv.in_flight + 1 <= limit)
                 return found[i];
@@ -419,13 +421,13 @@
             answers_ += run.server != origin_;
             srv.mean += slow_weight * (elapsed - srv.mean);
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
-            grow_or_cut(srv, elapsed / use_cases_[qry.use_case].slo_time);
+            learn(srv, elapsed / use_cases_[qry.use_case].slo_time);
         } else if (result == outcome::queue_full) {
-            srv.slow = std::max(srv.slow, 1.0);
+            srv.lim.slow = std::max(srv.lim.slow, 1.0);
             srv.full_until = now + mean_answer_;
-            grow_or_cut(srv, 1);
+            learn(srv, 1);
         } else if (result == outcome::timed_out) { // guards against a jam whose answers never come to be seen
-            grow_or_cut(srv, std::max(1.0, elapsed / use_cases_[qry.use_case].slo_time));
+            learn(srv, std::max(1.0, elapsed / use_cases_[qry.use_case].slo_time));
         }
         --srv.in_flight;
         total_in_flight_ -= run.server != origin_;
@@ -459,21 +461,31 @@
 
     // ---- Servers' health and cold starts
 
-    // The limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
-    void grow_or_cut(server &srv, double share) {
-        srv.slow += slow_weight * (share - srv.slow);
+    // A limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
+    void grow_or_cut(limit &lim, double share, double weight, double least, bool reached) {
+        lim.slow += weight * (share - lim.slow);
+        if (lim.slow <= std::max(slow_share, base_factor * lim.base)) {
+            if (reached)
+                lim.cap += 1 / std::max(1.0, lim.cap);
+        } else if (now_ - lim.cut_at > mean_answer_) {
+            lim.cap = std::max(least, lim.cap * cut_share);
+            lim.cut_at = now_;
+        }
+    }
+
+    // An answer that took this share of the SLO time: what it says of its server and of the whole.
+    void learn(server &srv, double share) {
+        const double least = least_cap / peers_;
         // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
         // slow by its load, and a late fetch still fills the cache.
-        const bool least = srv.cap <= std::max(1.0, least_cap / peers_);
         if (is_origin(srv))
-            srv.base = least ? srv.slow : std::min(srv.base, srv.slow);
-        if (srv.slow <= std::max(slow_share, base_factor * srv.base)) {
-            if (srv.in_flight + 1 > srv.cap || (!is_origin(srv) && total_in_flight_ + 1 > room_))
-                srv.cap += 1 / std::max(1.0, srv.cap);
-        } else if (now_ - srv.cut_at > std::max(srv.mean, mean_answer_)) {
-            srv.cap = std::max(least_cap / peers_, srv.cap * cut_share);
-            srv.cut_at = now_;
-        }
+            srv.lim.base =
+                srv.lim.cap <= std::max(1.0, least) ? srv.lim.slow : std::min(srv.lim.base, srv.lim.slow);
+        const bool all_reached = !is_origin(srv) && total_in_flight_ + 1 > room_;
+        grow_or_cut(srv.lim, share, slow_weight, least, srv.in_flight + 1 > srv.lim.cap || all_reached);
+        // Guards against jams that each of many proxies sees too little of at any one server.
+        if (!is_origin(srv) && srv.at != health::suspect)
+            grow_or_cut(all_, share, all_weight, least * usable_, all_reached);
     }
 
     sign condemn(index id) {
@@ -511,8 +523,8 @@
         auto &srv = servers_[id];
         srv.cold_since = srv.pushed_at = now_;
         srv.pushed = 0;
-        srv.cap = cold_cap;
-        srv.slow = 0;
+        srv.lim.cap = cold_cap;
+        srv.lim.slow = 0;
         return sign::nothing;
     }
 
@@ -547,7 +559,7 @@
             if (fresh) {
                 srv.id = entry.id;
                 srv.mean = mean_answer_;
-                srv.cap = start_cap / peers_;
+                srv.lim.cap = start_cap / peers_;
                 srv.quiet_at = now;
             }
             const bool restarted = entry.started > srv.as.started;
@@ -570,6 +582,8 @@
                 if (id >= named.size() || !named[id])
                     servers_[id].as.state = listing::gone;
         rebuild();
+        if (all_.cap <= 0)
+            all_.cap = start_cap / peers_ * static_cast<double>(on_ring_.size());
         refresh();
         drain();
     }
