--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -33,6 +33,7 @@
 constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.5;         // of the SLO time; the other half is left for a second try
 constexpr double base_factor = 2;          // times the origin's answer time at its least load; then queues
+constexpr double all_slow_share = 0.7;     // of the SLO time
 constexpr double all_weight = 0.05;        // of a new answer in the mean of all servers; the last twenty
 constexpr double slow_weight = 0.2;        // of a new answer in the mean; about the last five answers
 constexpr double quiet_limit = 8;          // mean answer times of silence; e^-8 by chance for random work
@@ -462,9 +463,9 @@
     // ---- Servers' health and cold starts
 
     // A limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
-    void grow_or_cut(limit &lim, double share, double weight, double least, bool reached) {
+    void grow_or_cut(limit &lim, double share, double target, double weight, double least, bool reached) {
         lim.slow += weight * (share - lim.slow);
-        if (lim.slow <= std::max(slow_share, base_factor * lim.base)) {
+        if (lim.slow <= std::max(target, base_factor * lim.base)) {
             if (reached)
                 lim.cap += 1 / std::max(1.0, lim.cap);
         } else if (now_ - lim.cut_at > mean_answer_) {
@@ -482,10 +483,11 @@
             srv.lim.base =
                 srv.lim.cap <= std::max(1.0, least) ? srv.lim.slow : std::min(srv.lim.base, srv.lim.slow);
         const bool all_reached = !is_origin(srv) && total_in_flight_ + 1 > room_;
-        grow_or_cut(srv.lim, share, slow_weight, least, srv.in_flight + 1 > srv.lim.cap || all_reached);
+        grow_or_cut(srv.lim, share, slow_share, slow_weight, least,
+                    srv.in_flight + 1 > srv.lim.cap || all_reached);
         // Guards against jams that each of many proxies sees too little of at any one server.
         if (!is_origin(srv) && srv.at != health::suspect)
-            grow_or_cut(all_, share, all_weight, least * usable_, all_reached);
+            grow_or_cut(all_, share, all_slow_share, all_weight, least * usable_, all_reached);
     }
 
     sign condemn(index id) {
