--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -46,7 +46,7 @@
     index use_case = 0, generation = 0;
     std::uint64_t key = 0, hash = 0;
     bool has_key = false;
-    double arrived = 0, end = 0, hold_end = 0;
+    double end = 0, hold_end = 0;
     index open = 0;
     std::vector<execution> executions;
 };
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -44,7 +44,7 @@
 constexpr double most_trial_gap = 4;       // s; a dead server costs one trial in this time
 constexpr double repeat_share = 0.1;       // repeats earned by a query; further work stays a tenth of all
 constexpr double repeat_burst = 10;        // repeats saved up; enough for what one dying server held
-constexpr double hold_share = 0.5;         // of the SLO time that a query may wait for room
+constexpr double hold_share = 0.25;        // of the SLO time that a query may wait for room
 constexpr double excess_room = 0.5;        // of all caps; beyond-share queries keep out of the other half
 constexpr std::size_t drain_batch = 16;    // held queries looked at for one freed place; bounds the CPU
 constexpr double first_call_gap = 0.5;     // s between calls for the list after a lost one, doubling
@@ -209,11 +209,10 @@
 
     // The earliest execution that is still out or may have run.
     static const execution *first_doubt(const query &qry) {
-        for (const auto &each : qry.executions) {
-            if (each.open || !never_ran(each.result))
-                return &each;
-        }
-        return nullptr;
+        const auto found =
+            std::find_if(qry.executions.begin(), qry.executions.end(),
+                         [](const execution &each) { return each.open || !never_ran(each.result); });
+        return found == qry.executions.end() ? nullptr : &*found;
     }
 
     // Guards "no effect twice" for every send after the first and, with no server, for a rejection.
@@ -233,11 +232,7 @@
     }
 
     input admit(index id) {
-        auto &qry = queries_[id];
-        qry.to_origin = qry.write && origin_kind_ != none;
-        if (qry.excess && total_in_flight_ >= room_ * excess_room)
-            return input::hopeless;
-        return input::go;
+        return queries_[id].excess && total_in_flight_ >= room_ * excess_room ? input::hopeless : input::go;
     }
 
     input place(index id) {
@@ -290,10 +285,9 @@
     input drop(index id) {
         auto &qry = queries_[id];
         std::erase(held_, id);
-        if (qry.leads) {
+        if (qry.leads)
             fetches_.erase(qry.key);
-            qry.leads = false;
-        }
+        qry.leads = false;
         if (qry.open == 0) {
             qry.live = false;
             ++qry.generation;
@@ -323,10 +317,7 @@
             return input::wait;
         }
         qry.to_origin = true;
-        if (qry.has_key && !fetches_.contains(qry.key)) {
-            fetches_[qry.key] = id;
-            qry.leads = true;
-        }
+        qry.leads = qry.leads || (qry.has_key && fetches_.emplace(qry.key, id).second);
         return input::go;
     }
 
@@ -373,6 +364,7 @@
         qry.live = true;
         qry.at = stage::held;
         qry.write = from.write;
+        qry.to_origin = from.write && origin_kind_ != none;
         qry.use_case = from.use_case;
         qry.has_key = from.has_key;
         qry.key = from.key;
@@ -380,7 +372,6 @@
         const std::uint64_t key = from.has_key ? from.key : (std::uint64_t{chance_()} << 31) + chance_();
         const auto end = std::to_chars(text.data(), text.data() + text.size(), key).ptr;
         qry.hash = ring_hash({text.data(), static_cast<std::size_t>(end - text.data())});
-        qry.arrived = now;
         qry.end = from.statement_end - end_margin_;
         qry.hold_end = std::min(qry.end, now + use_cases_[qry.use_case].slo_time * hold_share);
         repeats_ = std::min(repeat_burst, repeats_ + repeat_share);
@@ -389,8 +380,7 @@
             share.tokens = std::min(share.rate, share.tokens + share.rate * (now - share.at));
             share.at = now;
             qry.excess = share.rate > 0 && share.tokens < 1;
-            if (!qry.excess)
-                share.tokens -= 1;
+            share.tokens -= qry.excess ? 0 : 1;
         }
         due_.push({qry.end, from.query, generation});
         feed(from.query, input::arrives);
@@ -409,13 +399,11 @@
         --qry.open;
         took(srv);
         const double elapsed = now - run.sent;
-        const bool answered = result == outcome::completed || result == outcome::miss ||
-                              result == outcome::error || result == outcome::queue_full;
+        const bool answered = is_answer(result);
         if (answered)
             srv.quiet = 0;
-        const double worse = result == outcome::reset || result == outcome::connect_error ? bad_weight
-                             : result == outcome::error                                   ? error_weight
-                                                                                          : 0;
+        const bool broken = result == outcome::reset || result == outcome::connect_error;
+        const double worse = broken ? bad_weight : result == outcome::error ? error_weight : 0;
         srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
         if (result == outcome::completed || result == outcome::miss) {
             srv.pushed += std::max(0.0, elapsed / mean_answer_ - 1); // it was more work than it was taken for
@@ -438,8 +426,7 @@
             feel(run.server, srv.died && run.sent > srv.condemned_at ? sign::reborn : sign::answered);
         else if (srv.bad > bad_limit && worse > 0)
             feel(run.server, sign::struck);
-        if (worse == bad_weight)
-            srv.died = true;
+        srv.died = srv.died || broken;
         feed(id, over || qry.at == stage::over ? input::done
                  : qry.open > 0                ? input::half
                  : result == outcome::miss     ? input::missed
@@ -595,7 +582,7 @@
         now_ = now;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
         if (allow_.must_subscribe && now >= call_at_) {
-            actions.push_back({action_kind::subscribe, none, none, 0, 0});
+            actions.push_back({action_kind::subscribe});
             call_at_ = now + most_call_gap; // the answer comes in any case, mostly before this
         }
         for (std::size_t i = 0; i < on_ring_.size(); ++i) {
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -95,6 +95,12 @@
            result == outcome::miss;
 }
 
+// The server itself spoke, so it is alive.
+inline bool is_answer(outcome result) {
+    return result == outcome::completed || result == outcome::error || result == outcome::queue_full ||
+           result == outcome::miss;
+}
+
 enum class action_kind : std::uint8_t { send, cancel, reject, abort, release, probe, wake, subscribe };
 
 struct action {
