--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -410,13 +410,13 @@
             answers_ += run.server != origin_;
             srv.mean += slow_weight * (elapsed - srv.mean);
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
-            learn(srv, elapsed / use_cases_[qry.use_case].slo_time);
+            learn(srv, run.sent, elapsed / use_cases_[qry.use_case].slo_time);
         } else if (result == outcome::queue_full) {
             srv.lim.slow = std::max(srv.lim.slow, 1.0);
             srv.full_until = now + mean_answer_;
-            learn(srv, 1);
+            learn(srv, run.sent, 1);
         } else if (result == outcome::timed_out) { // guards against a jam whose answers never come to be seen
-            learn(srv, std::max(1.0, elapsed / use_cases_[qry.use_case].slo_time));
+            learn(srv, run.sent, std::max(1.0, elapsed / use_cases_[qry.use_case].slo_time));
         }
         --srv.in_flight;
         total_in_flight_ -= run.server != origin_;
@@ -450,19 +450,23 @@
     // ---- Servers' health and cold starts
 
     // A limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
-    void grow_or_cut(limit &lim, double share, double target, double weight, double least, bool reached) {
+    // What was sent before the last cut says nothing of the limit in force.
+    void grow_or_cut(limit &lim, double sent, double share, double target, double weight, double least,
+                     bool reached) {
+        if (sent < lim.cut_at)
+            return;
         lim.slow += weight * (share - lim.slow);
         if (lim.slow <= std::max(target, base_factor * lim.base)) {
             if (reached)
                 lim.cap += 1 / std::max(1.0, lim.cap);
-        } else if (now_ - lim.cut_at > mean_answer_) {
+        } else {
             lim.cap = std::max(least, lim.cap * cut_share);
             lim.cut_at = now_;
         }
     }
 
     // An answer that took this share of the SLO time: what it says of its server and of the whole.
-    void learn(server &srv, double share) {
+    void learn(server &srv, double sent, double share) {
         const double least = least_cap / peers_;
         // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
         // slow by its load, and a late fetch still fills the cache.
@@ -470,11 +474,11 @@
             srv.lim.base =
                 srv.lim.cap <= std::max(1.0, least) ? srv.lim.slow : std::min(srv.lim.base, srv.lim.slow);
         const bool all_reached = !is_origin(srv) && total_in_flight_ + 1 > room_;
-        grow_or_cut(srv.lim, share, slow_share, slow_weight, least,
+        grow_or_cut(srv.lim, sent, share, slow_share, slow_weight, least,
                     srv.in_flight + 1 > srv.lim.cap || all_reached);
         // Guards against jams that each of many proxies sees too little of at any one server.
         if (!is_origin(srv) && srv.at != health::suspect)
-            grow_or_cut(all_, share, all_slow_share, all_weight, least * usable_, all_reached);
+            grow_or_cut(all_, sent, share, all_slow_share, all_weight, least * usable_, all_reached);
     }
 
     sign condemn(index id) {
