--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -114,8 +114,7 @@
     std::vector<index> held_;                          // by importance, then age
     std::unordered_map<std::uint64_t, index> fetches_; // key to the query that fetches it; never iterated
     std::priority_queue<due, std::vector<due>, std::greater<>> due_;
-    double mean_value_ = 1; // of the latest queries
-    double repeats_ = 0;    // further executions that may follow ones that may have run
+    double repeats_ = 0; // further executions that may follow ones that may have run
 
     std::vector<server> servers_;
     std::vector<point> ring_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -45,9 +45,7 @@
 constexpr double repeat_share = 0.1;       // repeats earned by a query; further work stays a tenth of all
 constexpr double repeat_burst = 10;        // repeats saved up; enough for what one dying server held
 constexpr double hold_share = 0.25;        // of the SLO time that a query may wait for room
-constexpr double least_rank = 0.5;         // of the caps; what is worth least keeps out of the other half
-constexpr double most_rank = 1.5;          // of the caps; what is worth most may crowd a server by as much
-constexpr double value_weight = 0.02;      // of a new query in the mean; about the last fifty
+constexpr double excess_room = 0.5;        // of all caps; beyond-share queries keep out of the other half
 constexpr std::size_t drain_batch = 16;    // held queries looked at for one freed place; bounds the CPU
 constexpr double first_call_gap = 0.5;     // s between calls for the list after a lost one, doubling
 constexpr double most_call_gap = 8;        // s; the list service is never loaded by waiting proxies
@@ -58,7 +56,6 @@
         double shortest_slo = use_cases_.at(0).slo_time;
         for (const auto &each : use_cases_)
             shortest_slo = std::min(shortest_slo, each.slo_time);
-        mean_value_ = use_cases_[0].importance;
         mean_answer_ = shortest_slo * slow_share / 2;
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
@@ -179,8 +176,7 @@
             return free && may_go(qry, origin_) ? origin_ : none;
         }
         // Guards against many proxies each holding one execution too many at every server.
-        const double share = rank(qry);
-        if (total_in_flight_ >= room_ * share)
+        if (total_in_flight_ >= room_)
             return none;
         std::array<index, candidate_count> found{};
         const std::size_t count = walk(qry.hash, found, [&](index id) {
@@ -199,8 +195,7 @@
                 srv.trial_at = now_ + srv.gap;
                 return found[i];
             }
-            if (srv.in_flight >= std::max(1.0, srv.lim.cap * std::max(1.0, share)) || now_ < srv.full_until ||
-                !may_push(srv))
+            if (srv.in_flight >= std::max(1.0, srv.lim.cap) || now_ < srv.full_until || !may_push(srv))
                 continue;
             if (srv.in_flight + 1 <= limit)
                 return found[i];
@@ -237,8 +232,7 @@
     }
 
     input admit(index id) {
-        const bool full = total_in_flight_ >= room_ * rank(queries_[id]);
-        return queries_[id].excess && full ? input::hopeless : input::go;
+        return queries_[id].excess && total_in_flight_ >= room_ * excess_room ? input::hopeless : input::go;
     }
 
     input place(index id) {
@@ -265,20 +259,16 @@
         actions.push_back({action_kind::send, id, to, 0, 0});
     }
 
-    // What an answer to a query is worth, and the share of the caps that it may use for that.
-    double value(const query &qry) const {
+    // What an answer to a query is worth.
+    double value(index id) const {
+        const auto &qry = queries_[id];
         return use_cases_[qry.use_case].importance * (qry.excess ? excess_importance_ : 1);
     }
-    double rank(const query &qry) const {
-        return std::clamp(value(qry) / mean_value_, least_rank, most_rank);
-    }
 
     input queue(index id) {
         auto &qry = queries_[id];
         if (std::find(held_.begin(), held_.end(), id) == held_.end()) {
-            const auto less = [&](index one, index two) {
-                return value(queries_[one]) > value(queries_[two]);
-            };
+            const auto less = [&](index one, index two) { return value(one) > value(two); };
             held_.insert(std::upper_bound(held_.begin(), held_.end(), id, less), id);
             due_.push({qry.hold_end, id, qry.generation});
         }
@@ -392,7 +382,6 @@
             qry.excess = share.rate > 0 && share.tokens < 1;
             share.tokens -= qry.excess ? 0 : 1;
         }
-        mean_value_ += value_weight * (value(qry) - mean_value_);
         due_.push({qry.end, from.query, generation});
         feed(from.query, input::arrives);
     }
