--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -3,7 +3,8 @@
 // A front makes one router for each proxy with make_router(), reports every event with its clock in
 // seconds, and after each call carries out `actions` in order and empties it. It gives each query a small
 // index, which is its own again after `release`, and each server id a small index for good. A `wake` asks
-// for woken() at that time. Executions of a query are numbered 0, 1, 2 ... in the order of their `send`.
+// for woken() at that time. It names only queries not released and servers listed before. Executions of a
+// query are numbered 0, 1, 2 ... in the order of their `send`.
 #include "router/router.hpp"
 #include "router/records.hpp"
 
@@ -107,12 +108,11 @@
 
     // The figures that depend on every server: who can take work, and how much.
     void refresh() {
-        std::size_t suspects = 0, active = 0;
+        index suspects = 0;
         room_ = 0;
         for (index id : on_ring_) {
             auto &srv = servers_[id];
             srv.active = static_cast<index>(std::ceil(srv.points * warmth(srv)));
-            active += srv.active > 0;
             suspects += srv.at == health::suspect;
             if (srv.at != health::suspect)
                 room_ += srv.lim.cap;
@@ -120,7 +120,7 @@
         room_ = std::min(room_, all_.cap);
         // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
         mass_doubt_ = suspects * 2 > on_ring_.size();
-        usable_ = static_cast<index>(mass_doubt_ ? active : active - suspects);
+        usable_ = std::max<index>(1, static_cast<index>(on_ring_.size()) - (mass_doubt_ ? 0 : suspects));
     }
 
     double warmth(const server &srv) const {
@@ -186,7 +186,7 @@
                 });
             return !tried && usable(id, qry) && may_go(qry, id);
         });
-        const double mean = (total_in_flight_ + 1.0) / std::max<index>(1, usable_);
+        const double mean = (total_in_flight_ + 1.0) / usable_;
         const double limit = std::max(spill_floor, std::ceil(spill_factor * mean));
         index best = count > 0 || on_ring_.empty() ? none : nobody;
         for (std::size_t i = 0; i < count; ++i) {
@@ -388,10 +388,9 @@
 
     void ended(double now, index id, index number, outcome result, bool over) override {
         now_ = now;
-        if (id >= queries_.size() || !queries_[id].live || number >= queries_[id].executions.size() ||
-            !queries_[id].executions[number].open)
-            return;
         auto &qry = queries_[id];
+        if (number >= qry.executions.size() || !qry.executions[number].open)
+            return;
         auto &run = qry.executions[number];
         auto &srv = servers_[run.server];
         run.open = false;
@@ -437,48 +436,44 @@
 
     void begun(double now, index id) override {
         now_ = now;
-        if (id < queries_.size() && queries_[id].live)
-            queries_[id].end = std::numeric_limits<double>::infinity();
+        queries_[id].end = std::numeric_limits<double>::infinity();
     }
 
     void left(double now, index id) override {
         now_ = now;
-        if (id < queries_.size() && queries_[id].live && queries_[id].at != stage::over)
-            feed(id, input::left);
+        feed(id, input::left);
     }
 
     // ---- Servers' health and cold starts
 
-    // A limit on what is in flight: grows by one for a limit's worth of good answers, is cut by a share.
+    // A limit on what is in flight grows by one for a limit's worth of good answers and is cut by a share.
     // What was sent before the last cut says nothing of the limit in force.
-    void grow_or_cut(limit &lim, double sent, double share, double target, double weight, double least,
-                     bool reached) {
+    void grow_or_cut(limit &lim, double sent, double share, bool reached) {
         if (sent < lim.cut_at)
             return;
-        lim.slow += weight * (share - lim.slow);
-        if (lim.slow <= std::max(target, base_factor * lim.base)) {
-            if (reached)
-                lim.cap += 1 / std::max(1.0, lim.cap);
+        lim.slow += lim.weight * (share - lim.slow);
+        if (lim.slow <= std::max(lim.target, base_factor * lim.base)) {
+            lim.cap += reached ? 1 / std::max(1.0, lim.cap) : 0;
         } else {
-            lim.cap = std::max(least, lim.cap * cut_share);
+            lim.cap = std::max(lim.least, lim.cap * cut_share);
             lim.cut_at = now_;
         }
     }
 
     // An answer that took this share of the SLO time: what it says of its server and of the whole.
     void learn(server &srv, double sent, double share) {
-        const double least = least_cap / peers_;
-        // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
-        // slow by its load, and a late fetch still fills the cache.
-        if (is_origin(srv))
-            srv.lim.base =
-                srv.lim.cap <= std::max(1.0, least) ? srv.lim.slow : std::min(srv.lim.base, srv.lim.slow);
-        const bool all_reached = !is_origin(srv) && total_in_flight_ + 1 > room_;
-        grow_or_cut(srv.lim, sent, share, slow_share, slow_weight, least,
-                    srv.in_flight + 1 > srv.lim.cap || all_reached);
-        // Guards against jams that each of many proxies sees too little of at any one server.
-        if (!is_origin(srv) && srv.at != health::suspect)
-            grow_or_cut(all_, sent, share, all_slow_share, all_weight, least * usable_, all_reached);
+        auto &lim = srv.lim;
+        if (is_origin(srv)) {
+            // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
+            // slow by its load, and a late fetch still fills the cache.
+            lim.base = lim.cap <= std::max(1.0, lim.least) ? lim.slow : std::min(lim.base, lim.slow);
+            return grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap);
+        }
+        const bool all_reached = total_in_flight_ + 1 > room_;
+        grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached);
+        // Guards against jams of which each of many proxies sees too little at any one server.
+        if (srv.at != health::suspect)
+            grow_or_cut(all_, sent, share, all_reached);
     }
 
     sign condemn(index id) {
@@ -523,7 +518,7 @@
 
     void probed(double now, index id, bool answered) override {
         now_ = now;
-        if (id >= servers_.size() || servers_[id].at != health::suspect)
+        if (servers_[id].at != health::suspect)
             return;
         feel(id, !answered ? sign::struck : servers_[id].died ? sign::reborn : sign::answered);
     }
@@ -541,18 +536,18 @@
             call_at_ = std::numeric_limits<double>::infinity(); // subscribed, until it is lost
             call_gap_ = first_call_gap;
         }
-        std::vector<bool> named(servers_.size());
+        if (kind != list_kind::changes) // what a whole list leaves out is gone
+            for (auto &srv : servers_)
+                srv.as.state = listing::gone;
         for (const auto &entry : entries) {
             if (entry.server >= servers_.size())
                 servers_.resize(entry.server + 1);
-            named.resize(servers_.size());
-            named[entry.server] = true;
             auto &srv = servers_[entry.server];
             const bool fresh = srv.as.server == none;
             if (fresh) {
                 srv.id = entry.id;
                 srv.mean = mean_answer_;
-                srv.lim.cap = start_cap / peers_;
+                srv.lim = {start_cap / peers_, least_cap / peers_, slow_share, slow_weight};
                 srv.quiet_at = now;
             }
             const bool restarted = entry.started > srv.as.started;
@@ -570,13 +565,13 @@
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
             }
         }
-        if (kind != list_kind::changes) // what a whole list leaves out is gone
-            for (index id = 0; id < servers_.size(); ++id)
-                if (id >= named.size() || !named[id])
-                    servers_[id].as.state = listing::gone;
+        const auto before = static_cast<double>(on_ring_.size());
         rebuild();
-        if (all_.cap <= 0)
-            all_.cap = start_cap / peers_ * static_cast<double>(on_ring_.size());
+        const auto after = static_cast<double>(on_ring_.size());
+        if (before == 0)
+            all_ = {start_cap * after / peers_, least_cap * after / peers_, all_slow_share, all_weight};
+        else
+            all_.cap *= after / before;
         refresh();
         drain();
     }
@@ -602,7 +597,7 @@
                 srv.trial_at = now + srv.gap;
             }
         }
-        rate_ += sweep_period / rate_memory * (answers_ / sweep_period / std::max<index>(1, usable_) - rate_);
+        rate_ += sweep_period / rate_memory * (answers_ / sweep_period / usable_ - rate_);
         carried_ = std::max(rate_, carried_ * (1 - sweep_period / carried_memory));
         answers_ = 0;
         refresh();
