--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -278,7 +278,7 @@
     input finish(index id) {
         auto &qry = queries_[id];
         const auto kind = may_go(qry, none) ? action_kind::reject : action_kind::abort;
-        actions.push_back({kind, id, none, 0, allow_.max_advice * qry.excess});
+        actions.push_back({kind, id, none, 0, allow_.max_advice});
         return drop(id);
     }
 
