--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -55,6 +55,7 @@
 struct limit {
     double cap = 0, least = 0;     // executions
     double target = 0, weight = 0; // of `slow`, and of a new answer in it
+    double parts = 1;              // warm servers, for each of which `cap` is
     double slow = 0;               // mean of answer time / SLO time
     double base = 0;               // `slow` at the least cap, where that is no fault of the load
     double cut_at = 0;             // s
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -63,6 +63,7 @@
             tenants_.push_back({quota / given.peers, quota / given.peers, now});
         repeats_ = repeat_burst;
         call_gap_ = first_call_gap;
+        all_ = {start_cap / peers_, least_cap / peers_, all_slow_share, all_weight};
         call_at_ = now + chance() * call_gap_;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
     }
@@ -108,19 +109,23 @@
 
     // The figures that depend on every server: who can take work, and how much.
     void refresh() {
-        index suspects = 0;
-        room_ = 0;
+        const auto suspects = static_cast<std::size_t>(std::count_if(
+            on_ring_.begin(), on_ring_.end(), [&](index id) { return servers_[id].at == health::suspect; }));
+        // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
+        mass_doubt_ = suspects * 2 > on_ring_.size();
+        usable_ = 0;
+        room_ = all_.parts = 0;
         for (index id : on_ring_) {
             auto &srv = servers_[id];
             srv.active = static_cast<index>(std::ceil(srv.points * warmth(srv)));
-            suspects += srv.at == health::suspect;
-            if (srv.at != health::suspect)
-                room_ += srv.lim.cap;
+            if (srv.at == health::suspect && !mass_doubt_)
+                continue;
+            ++usable_;
+            all_.parts += warmth(srv);
+            room_ += srv.lim.cap;
         }
-        room_ = std::min(room_, all_.cap);
-        // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
-        mass_doubt_ = suspects * 2 > on_ring_.size();
-        usable_ = std::max<index>(1, static_cast<index>(on_ring_.size()) - (mass_doubt_ ? 0 : suspects));
+        usable_ = std::max<index>(1, usable_);
+        room_ = std::min(room_, all_.cap * all_.parts);
     }
 
     double warmth(const server &srv) const {
@@ -453,7 +458,7 @@
             return;
         lim.slow += lim.weight * (share - lim.slow);
         if (lim.slow <= std::max(lim.target, base_factor * lim.base)) {
-            lim.cap += reached ? 1 / std::max(1.0, lim.cap) : 0;
+            lim.cap += reached ? 1 / std::max(1.0, lim.cap * lim.parts) / lim.parts : 0;
         } else {
             lim.cap = std::max(lim.least, lim.cap * cut_share);
             lim.cut_at = now_;
@@ -472,7 +477,7 @@
         const bool all_reached = total_in_flight_ + 1 > room_;
         grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached);
         // Guards against jams of which each of many proxies sees too little at any one server.
-        if (srv.at != health::suspect)
+        if (srv.at == health::ready)
             grow_or_cut(all_, sent, share, all_reached);
     }
 
@@ -565,13 +570,7 @@
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
             }
         }
-        const auto before = static_cast<double>(on_ring_.size());
         rebuild();
-        const auto after = static_cast<double>(on_ring_.size());
-        if (before == 0)
-            all_ = {start_cap * after / peers_, least_cap * after / peers_, all_slow_share, all_weight};
-        else
-            all_.cap *= after / before;
         refresh();
         drain();
     }
