--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -36,8 +36,8 @@
     time_up,
     left
 };
-enum class health : std::uint8_t { ready, cold, resting, suspect };
-enum class sign : std::uint8_t { nothing, struck, answered, reborn, warmed, crowded, rested };
+enum class health : std::uint8_t { ready, cold, suspect };
+enum class sign : std::uint8_t { nothing, struck, answered, reborn, warmed };
 
 struct query {
     bool live = false; // until the front may use its index again
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -41,8 +41,6 @@
 constexpr double bad_weight = 0.3;         // of a broken execution in the mean; two in a row condemn
 constexpr double error_weight = 0.2;       // of an error answer, which may be the query's fault; four condemn
 constexpr double bad_limit = 0.5;          // share of broken executions; over it a server is worse than none
-constexpr double rest_slow = 1;            // of the SLO time; slower at the least cap is no use to anyone
-constexpr double rest_time = 5;            // s; a crowded server works off what it holds
 constexpr double trial_gap = 0.5;          // s to the first trial of a suspect server
 constexpr double most_trial_gap = 4;       // s; a dead server costs one trial in this time
 constexpr double repeat_share = 0.1;       // repeats earned by a query; further work stays a tenth of all
@@ -111,8 +109,8 @@
 
     // The figures that depend on every server: who can take work, and how much.
     void refresh() {
-        const auto suspects = static_cast<std::size_t>(
-            std::count_if(on_ring_.begin(), on_ring_.end(), [&](index id) { return away(servers_[id]); }));
+        const auto suspects = static_cast<std::size_t>(std::count_if(
+            on_ring_.begin(), on_ring_.end(), [&](index id) { return servers_[id].at == health::suspect; }));
         // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
         mass_doubt_ = suspects * 2 > on_ring_.size();
         usable_ = 0;
@@ -120,7 +118,7 @@
         for (index id : on_ring_) {
             auto &srv = servers_[id];
             srv.active = static_cast<index>(std::ceil(srv.points * warmth(srv)));
-            if (away(srv) && !mass_doubt_)
+            if (srv.at == health::suspect && !mass_doubt_)
                 continue;
             ++usable_;
             all_.parts += warmth(srv);
@@ -150,10 +148,10 @@
 
     bool usable(index id, const query &qry) const {
         const auto &srv = servers_[id];
-        if (!away(srv) || mass_doubt_)
+        if (srv.at != health::suspect || mass_doubt_)
             return true;
-        return srv.at == health::suspect && !allow_.may_probe && now_ >= srv.trial_at && srv.in_flight == 0 &&
-               qry.executions.empty() && use_cases_[qry.use_case].effect == effect_kind::idempotent;
+        return !allow_.may_probe && now_ >= srv.trial_at && srv.in_flight == 0 && qry.executions.empty() &&
+               use_cases_[qry.use_case].effect == effect_kind::idempotent;
     }
 
     // Walks left from a position and collects the first distinct servers that `accept` takes.
@@ -481,9 +479,6 @@
         // Guards against jams of which each of many proxies sees too little at any one server.
         if (srv.at == health::ready)
             grow_or_cut(all_, sent, share, all_reached);
-        // Guards against feeding a server that slowed down for being crowded and stays slow until it rests.
-        if (lim.slow > rest_slow && lim.cap <= std::max(1.0, lim.least))
-            feel(srv.as.server, sign::crowded);
     }
 
     sign condemn(index id) {
@@ -508,12 +503,6 @@
         return sign::nothing;
     }
 
-    sign rest(index id) {
-        servers_[id].lim.slow = 0;
-        servers_[id].trial_at = now_ + rest_time;
-        return sign::nothing;
-    }
-
     sign restore(index id) {
         auto &srv = servers_[id];
         srv.bad = 0;
@@ -598,10 +587,8 @@
             const index id = on_ring_[i];
             auto &srv = servers_[id];
             took(srv);
-            if (!away(srv) && srv.quiet > quiet_limit * std::max(srv.mean, mean_answer_))
+            if (srv.at != health::suspect && srv.quiet > quiet_limit * std::max(srv.mean, mean_answer_))
                 feel(id, sign::struck);
-            if (srv.at == health::resting && now >= srv.trial_at)
-                feel(id, sign::rested);
             if (srv.at == health::cold && warmth(srv) >= 1)
                 feel(id, sign::warmed);
             if (srv.at == health::suspect && allow_.may_probe && now >= srv.trial_at) {
@@ -634,10 +621,9 @@
     using query_row = table_row<stage, input>;
     using server_row = table_row<health, sign>;
     static const std::array<query_row, 16> query_table;
-    static const std::array<server_row, 12> server_table;
+    static const std::array<server_row, 8> server_table;
     input none_more(index) { return input::nothing; }
     input retry(index) { return input::go; }
-    static bool away(const server &srv) { return srv.at == health::suspect || srv.at == health::resting; }
     bool is_origin(const server &srv) const { return origin_kind_ != none && srv.as.kind == origin_kind_; }
     void took(server &srv) {
         srv.quiet += srv.in_flight * (now_ - srv.quiet_at);
@@ -667,7 +653,7 @@
 }};
 
 // How a server is thought of. `reborn`: its process started anew, so its cache and its speed did too.
-const std::array<core::server_row, 12> core::server_table = {{
+const std::array<core::server_row, 8> core::server_table = {{
     {health::ready, sign::struck, health::suspect, &core::condemn},
     {health::cold, sign::struck, health::suspect, &core::condemn},
     {health::suspect, sign::struck, health::suspect, &core::back_off},
@@ -676,10 +662,6 @@
     {health::ready, sign::reborn, health::cold, &core::chill},
     {health::cold, sign::reborn, health::cold, &core::chill},
     {health::cold, sign::warmed, health::ready, &core::restore},
-    {health::ready, sign::crowded, health::resting, &core::rest},
-    {health::resting, sign::rested, health::ready, &core::restore},
-    {health::resting, sign::struck, health::suspect, &core::condemn},
-    {health::resting, sign::reborn, health::cold, &core::chill},
 }};
 
 } // namespace
