--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -34,22 +34,23 @@
 constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.5;         // of the SLO time; the other half is left for a second try
 constexpr double base_factor = 2;          // times the origin's answer time at its least load; then queues
-constexpr double all_slow_share = 0.6;     // of the SLO time
-constexpr double all_weight = 0.1;         // of a new answer in the mean of all servers; the last ten
-constexpr double slow_weight = 0.2;        // of a new answer in the mean; about the last five answers
-constexpr double quiet_limit = 8;          // mean answer times of silence; e^-8 by chance for random work
-constexpr double bad_weight = 0.3;         // of a broken execution in the mean; two in a row condemn
-constexpr double error_weight = 0.2;       // of an error answer, which may be the query's fault; four condemn
-constexpr double bad_limit = 0.5;          // share of broken executions; over it a server is worse than none
-constexpr double trial_gap = 0.5;          // s to the first trial of a suspect server
-constexpr double most_trial_gap = 4;       // s; a dead server costs one trial in this time
-constexpr double repeat_share = 0.1;       // repeats earned by a query; further work stays a tenth of all
-constexpr double repeat_burst = 10;        // repeats saved up; enough for what one dying server held
-constexpr double hold_share = 0.25;        // of the SLO time that a query may wait for room
-constexpr double excess_room = 0.5;        // of all caps; beyond-share queries keep out of the other half
-constexpr std::size_t drain_batch = 16;    // held queries looked at for one freed place; bounds the CPU
-constexpr double first_call_gap = 0.5;     // s between calls for the list after a lost one, doubling
-constexpr double most_call_gap = 8;        // s; the list service is never loaded by waiting proxies
+constexpr double quick_share = 0.25;   // of the SLO time; so quick a server has room whatever the others have
+constexpr double all_slow_share = 0.6; // of the SLO time
+constexpr double all_weight = 0.1;     // of a new answer in the mean of all servers; the last ten
+constexpr double slow_weight = 0.2;    // of a new answer in the mean; about the last five answers
+constexpr double quiet_limit = 8;      // mean answer times of silence; e^-8 by chance for random work
+constexpr double bad_weight = 0.3;     // of a broken execution in the mean; two in a row condemn
+constexpr double error_weight = 0.2;   // of an error answer, which may be the query's fault; four condemn
+constexpr double bad_limit = 0.5;      // share of broken executions; over it a server is worse than none
+constexpr double trial_gap = 0.5;      // s to the first trial of a suspect server
+constexpr double most_trial_gap = 4;   // s; a dead server costs one trial in this time
+constexpr double repeat_share = 0.1;   // repeats earned by a query; further work stays a tenth of all
+constexpr double repeat_burst = 10;    // repeats saved up; enough for what one dying server held
+constexpr double hold_share = 0.25;    // of the SLO time that a query may wait for room
+constexpr double excess_room = 0.5;    // of all caps; beyond-share queries keep out of the other half
+constexpr std::size_t drain_batch = 16; // held queries looked at for one freed place; bounds the CPU
+constexpr double first_call_gap = 0.5;  // s between calls for the list after a lost one, doubling
+constexpr double most_call_gap = 8;     // s; the list service is never loaded by waiting proxies
 
 class core final : public router, private memory {
 public:
@@ -180,9 +181,6 @@
                               servers_[origin_].in_flight < std::max(1.0, servers_[origin_].lim.cap);
             return free && may_go(qry, origin_) ? origin_ : none;
         }
-        // Guards against many proxies each holding one execution too many at every server.
-        if (total_in_flight_ >= room_)
-            return none;
         std::array<index, candidate_count> found{};
         const std::size_t count = walk(qry.hash, found, [&](index id) {
             const bool tried =
@@ -200,6 +198,9 @@
                 srv.trial_at = now_ + srv.gap;
                 return found[i];
             }
+            // Guards against many proxies each holding one execution too many at every server.
+            if (total_in_flight_ >= room_ && srv.lim.slow > quick_share)
+                continue;
             if (srv.in_flight >= std::max(1.0, srv.lim.cap) || now_ < srv.full_until || !may_push(srv))
                 continue;
             if (srv.in_flight + 1 <= limit)
