--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -61,7 +61,7 @@
         mean_answer_ = shortest_slo * slow_share / 2;
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
-            tenants_.push_back({quota / given.peers, quota / given.peers, now});
+            tenants_.push_back({quota / given.peers, std::max(1.0, quota / given.peers), now});
         repeats_ = repeat_burst;
         call_gap_ = first_call_gap;
         all_ = {start_cap / peers_, least_cap / peers_, all_slow_share, all_weight};
@@ -383,7 +383,7 @@
         repeats_ = std::min(repeat_burst, repeats_ + repeat_share);
         if (from.tenant < tenants_.size()) {
             auto &share = tenants_[from.tenant];
-            share.tokens = std::min(share.rate, share.tokens + share.rate * (now - share.at));
+            share.tokens = std::min(std::max(1.0, share.rate), share.tokens + share.rate * (now - share.at));
             share.at = now;
             qry.excess = share.rate > 0 && share.tokens < 1;
             share.tokens -= qry.excess ? 0 : 1;
@@ -535,7 +535,7 @@
         now_ = now;
         if (kind == list_kind::lost) {
             call_at_ = now + call_gap_ * (0.5 + chance());
-            call_gap_ = std::min(most_call_gap, call_gap_ * 2);
+            call_gap_ = std::min({most_call_gap, allow_.must_ask_in, call_gap_ * 2});
             return;
         }
         if (kind != list_kind::cached) {
@@ -558,6 +558,7 @@
             }
             const bool restarted = entry.started > srv.as.started;
             srv.as = entry;
+            srv.as.id = {}; // it is the caller's
             const double weight = allow_.weights_live ? 1 : entry.weight;
             srv.points =
                 static_cast<index>(std::clamp(std::round(weight * points_per_weight), 1.0, most_points));
@@ -582,7 +583,7 @@
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
         if (allow_.must_subscribe && now >= call_at_) {
             actions.push_back({action_kind::subscribe});
-            call_at_ = now + most_call_gap; // the answer comes in any case, mostly before this
+            call_at_ = now + std::min(most_call_gap, allow_.must_ask_in); // mostly answered before this
         }
         for (std::size_t i = 0; i < on_ring_.size(); ++i) {
             const index id = on_ring_[i];
--- a/src/simlink/simlink.cpp
+++ b/src/simlink/simlink.cpp
@@ -138,6 +138,7 @@
     to.origin_kind =
         given.text("familyInfo.mode") == "aside" ? given.count("familyInfo.originKind", none) : none;
     to.allow.weights_live = given.text("weights") == "live";
+    to.allow.must_ask_in = given.seconds("rules.mustAskInMs", to.allow.must_ask_in);
     to.allow.must_subscribe = given.text("discovery") == "subscribe";
     to.allow.second_copies = given.flag("limits.secondCopies");
     to.allow.may_cancel = given.flag("limits.cancel");
