--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -112,6 +112,7 @@
     index origin_kind_, origin_ = none;
 
     std::vector<tenant_share> tenants_;
+    std::vector<double> costs_; // s, mean answer time of each use case
     std::vector<query> queries_;
     std::vector<index> held_;                          // by importance, then age
     std::unordered_map<std::uint64_t, index> fetches_; // key to the query that fetches it; never iterated
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -59,6 +59,7 @@
         for (const auto &each : use_cases_)
             shortest_slo = std::min(shortest_slo, each.slo_time);
         mean_answer_ = shortest_slo * slow_share / 2;
+        costs_.assign(use_cases_.size(), mean_answer_);
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
             tenants_.push_back({quota / given.peers, std::max(1.0, quota / given.peers), now});
@@ -94,15 +95,13 @@
     void rebuild() {
         ring_.clear();
         on_ring_.clear();
-        std::string text;
         for (index id = 0; id < servers_.size(); ++id) {
             const auto &srv = servers_[id];
             if (srv.as.state != listing::ready || is_origin(srv))
                 continue;
             on_ring_.push_back(id);
             for (index order = 0; order < srv.points; ++order) {
-                text = srv.id + ":" + std::to_string(order);
-                ring_.push_back({ring_hash(text), id, order});
+                ring_.push_back({ring_hash(srv.id + ":" + std::to_string(order)), id, order});
             }
         }
         std::sort(ring_.begin(), ring_.end());
@@ -265,10 +264,11 @@
         actions.push_back({action_kind::send, id, to, 0, 0});
     }
 
-    // What an answer to a query is worth.
+    // What an answer to a query is worth, for each second that its use case takes.
     double value(index id) const {
         const auto &qry = queries_[id];
-        return use_cases_[qry.use_case].importance * (qry.excess ? excess_importance_ : 1);
+        return use_cases_[qry.use_case].importance * (qry.excess ? excess_importance_ : 1) /
+               costs_[qry.use_case];
     }
 
     input queue(index id) {
@@ -413,6 +413,8 @@
         if (result == outcome::completed || result == outcome::miss) {
             srv.pushed += std::max(0.0, elapsed / mean_answer_ - 1); // it was more work than it was taken for
             answers_ += run.server != origin_;
+            auto &cost = costs_[qry.use_case];
+            cost += slow_weight / 4 * (elapsed - cost);
             srv.mean += slow_weight * (elapsed - srv.mean);
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
             learn(srv, run.sent, elapsed / use_cases_[qry.use_case].slo_time);
@@ -524,9 +526,8 @@
 
     void probed(double now, index id, bool answered) override {
         now_ = now;
-        if (servers_[id].at != health::suspect)
-            return;
-        feel(id, !answered ? sign::struck : servers_[id].died ? sign::reborn : sign::answered);
+        if (servers_[id].at == health::suspect)
+            feel(id, !answered ? sign::struck : servers_[id].died ? sign::reborn : sign::answered);
     }
 
     // ---- The list
@@ -585,8 +586,7 @@
             actions.push_back({action_kind::subscribe});
             call_at_ = now + std::min(most_call_gap, allow_.must_ask_in); // mostly answered before this
         }
-        for (std::size_t i = 0; i < on_ring_.size(); ++i) {
-            const index id = on_ring_[i];
+        for (const index id : on_ring_) {
             auto &srv = servers_[id];
             took(srv);
             if (srv.at != health::suspect && srv.quiet > quiet_limit * std::max(srv.mean, mean_answer_))
