--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -11,8 +11,9 @@
 // Each trace holds its events and, indented, the decisions that must follow them.
 TEST_CASE("decisions match the kept traces") {
     const std::string folder = HARRIERPASS_TRACES;
-    for (const std::string name : {"walk", "effects", "timeout", "drain", "cold", "miss", "origin_limit",
-                                   "tenants", "subscription", "silence", "jam", "crowd", "small_ring"}) {
+    for (const std::string name :
+         {"walk", "effects", "timeout", "drain", "cold", "miss", "origin_limit", "tenants", "subscription",
+          "silence", "cancel", "jam", "crowd", "small_ring"}) {
         CAPTURE(name);
         const std::string kept = read_file(folder + "/" + name + ".txt");
         CHECK(!kept.empty());
--- a/tests/script.hpp
+++ b/tests/script.hpp
@@ -75,6 +75,7 @@
             {"fall_multiple", &cold.fall_multiple},   {"fall_time", &cold.fall_time},
             {"max_advice", &allow.max_advice},        {"excess_importance", &settings_.excess_importance}};
         const std::map<std::string, bool *> flags = {{"copies", &allow.second_copies},
+                                                     {"may_cancel", &allow.may_cancel},
                                                      {"may_probe", &allow.may_probe},
                                                      {"subscribe", &allow.must_subscribe}};
         const std::map<std::string, index *> counts = {{"executions", &allow.max_executions},
@@ -97,7 +98,7 @@
     }
 
     // TIME list KIND {NAME[/KIND][@ZONE][*STARTED][!|-]} | query ID USE [key=K] [tenant=T] [write] end=T
-    //   | end ID EXECUTION OUTCOME [over] | begun ID | left ID | probed NAME 0/1 | wake [UNTIL]
+    //   | end ID EXECUTION OUTCOME [over] | left ID | probed NAME 0/1 | wake [UNTIL]
     void event(std::istringstream &words) {
         double now = 0;
         std::string what, word;
@@ -147,10 +148,10 @@
             words >> query >> execution >> word >> over;
             const auto at = std::find(outcomes.begin(), outcomes.end(), word) - outcomes.begin();
             router_->ended(now, query, execution, static_cast<outcome>(at), over == "over");
-        } else if (what == "begun" || what == "left") {
+        } else if (what == "left") {
             index query = 0;
             words >> query;
-            what == "begun" ? router_->begun(now, query) : router_->left(now, query);
+            router_->left(now, query);
         } else if (what == "probed") {
             bool answered = false;
             words >> word >> answered;
