--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -4,6 +4,7 @@
 
 #include "router/types.hpp"
 
+#include <deque>
 #include <functional>
 #include <queue>
 #include <random>
@@ -47,18 +48,20 @@
     std::uint64_t key = 0, hash = 0;
     bool has_key = false;
     double end = 0, hold_end = 0;
+    double worth = 0; // importance, less beyond the tenant's share
+    double luck = 0;  // of 1; where it falls between two executions, a limit is open to lower ones
     index open = 0;
     std::vector<execution> executions;
 };
 
 // On executions in flight.
 struct limit {
-    double cap = 0, least = 0;     // executions
-    double target = 0, weight = 0; // of `slow`, and of a new answer in it
-    double parts = 1;              // warm servers, for each of which `cap` is
-    double slow = 0;               // mean of answer time / SLO time
-    double base = 0;               // `slow` at the least cap, where that is no fault of the load
-    double cut_at = 0;             // s
+    double cap = 0, least = 0;       // executions
+    double target = 0, weight = 0;   // of `slow`, and of a new answer in it
+    double parts = 1;                // warm servers, for each of which `cap` is
+    double slow = 0;                 // mean of answer time / SLO time
+    double base = 0;                 // `slow` at the least cap, where that is no fault of the load
+    double cut_at = 0, heard_at = 0; // s
 };
 
 struct server {
@@ -66,14 +69,11 @@
     list_entry as; // as last listed, but for the id
     health at = health::ready;
     bool died = false;
-    index points = 0, active = 0; // points of its own; those in use now
+    index points = 0, laid = 0, active = 0; // points of its own; those on the ring; those in use now
     index in_flight = 0;
     limit lim;
-    double mean = 0;                // of answer times, s
     double bad = 0;                 // mean share of broken executions
     double quiet = 0, quiet_at = 0; // execution-seconds without a sign of life, and up to when
-    double pushed = 0,
-           pushed_at = 0; // work sent while cold, in executions, less what the rule's budget lets go
     double cold_since = 0, full_until = 0;
     double condemned_at = 0, trial_at = 0, gap = 0;
 };
@@ -100,7 +100,9 @@
 struct memory {
     memory(const settings &given, std::uint32_t seed, double now)
         : now_(now), chance_(seed), use_cases_(given.use_cases), allow_(given.allow), cold_(given.cold),
-          peers_(given.peers), excess_importance_(given.excess_importance), origin_kind_(given.origin_kind) {}
+          peers_(given.peers), excess_importance_(given.excess_importance), origin_kind_(given.origin_kind),
+          own_zone_(given.cross_price > given.origin_price ? given.own_zone : none),
+          cross_price_(own_zone_ == none ? 0 : given.cross_price) {}
 
     double now_;
     std::minstd_rand chance_;
@@ -109,11 +111,16 @@
     cold_rule cold_;
     double peers_, excess_importance_;
     double end_margin_ = 0; // s before the statement timeout at which a query gets its final answer
-    index origin_kind_, origin_ = none;
+    index origin_kind_;
+    index own_zone_;     // whose servers go first; none: nowhere
+    double cross_price_; // of an answer's worth
+    index origin_ = none;
 
     std::vector<tenant_share> tenants_;
-    std::vector<double> costs_; // s, mean answer time of each use case
     std::vector<query> queries_;
+    std::deque<std::uint64_t> recent_;                 // keys of the latest queries ...
+    std::unordered_map<std::uint64_t, index> seen_;    // ... and how often each is among them; never iterated
+    double own_part_ = 0;                              // of 1; which of a hot key's places this proxy uses
     std::vector<index> held_;                          // by importance, then age
     std::unordered_map<std::uint64_t, index> fetches_; // key to the query that fetches it; never iterated
     std::priority_queue<due, std::vector<due>, std::greater<>> due_;
@@ -124,10 +131,8 @@
     std::vector<index> on_ring_;
     index usable_ = 0, total_in_flight_ = 0; // servers to choose from; executions at all of them
     limit all_;                              // on executions at all of them
-    double room_ = 0;                        // sum of their caps
+    double room_ = 0;                        // what it comes to
     double mean_answer_ = 0;                 // s
-    double answers_ = 0;                     // since the last sweep
-    double rate_ = 0, carried_ = 0;          // answers a second of one server: now, at best
     bool mass_doubt_ = false;                // so many are suspect that suspicion is not to be trusted
 
     double call_at_ = 0, call_gap_ = 0; // when the list is asked for next; s between calls
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cmath>
 #include <xxhash.h>
 
@@ -21,23 +20,25 @@
 constexpr double points_per_weight = 160;  // points; the design's start value, 8% imbalance
 constexpr double most_points = 2560;       // points; bounds the ring's memory when weights are large
 constexpr std::size_t candidate_count = 3; // servers; the design's
-constexpr double spill_factor = 2;         // times the mean in flight; the design's
-constexpr double spill_floor = 2;          // queries; the design's
-constexpr double sweep_period = 0.05;      // s; short beside any SLO time, cheap at 20 a second
-constexpr double start_cap = 8;            // executions of all proxies at a warm server not yet known
-constexpr double cold_cap = 1;             // executions; the least that still learns
-constexpr double least_cap = 2;            // executions of all proxies; a limit never shuts a server off
-constexpr index nobody = none - 1;         // where no server may take a query, now or later
-constexpr double push_part = 0.5;          // of the rule's budget at once, the rest as it drains: any window
-constexpr double rate_memory = 2;          // s of answers behind the rate that a server carries
-constexpr double carried_memory = 60;      // s; what servers carried at their best stays true that long
-constexpr double cut_share = 0.7;          // of the cap; a few cuts halve it, one does little harm
-constexpr double slow_share = 0.4;         // of the SLO time; the rest is left for the way and a second try
-constexpr double base_factor = 2;          // times the origin's answer time at its least load; then queues
-constexpr double quick_share = 0.15;       // of the SLO time; so quick a server has room to spare
+constexpr std::size_t zone_walk = 64;   // points walked for a candidate in the own zone; a zone may be small
+constexpr std::size_t recent_keys = 64; // queries; a few seconds of one proxy's, and 2% of them show
+constexpr double dear_crossing = 0.05;  // of an answer's worth; above it a key is worth a copy in each zone
+constexpr double hot_factor = 2;        // servers for each server's fair share of queries that a key draws
+constexpr double spill_factor = 2;      // times the mean in flight; the design's
+constexpr double spill_floor = 2;       // queries; the design's
+constexpr double sweep_period = 0.05;   // s; short beside any SLO time, cheap at 20 a second
+constexpr double start_cap = 8;         // executions of all proxies at a warm server not yet known
+constexpr double cold_cap = 1;          // executions; the least that still learns
+constexpr double least_cap = 2;         // executions of all proxies; a limit never shuts a server off
+constexpr index nobody = none - 1;      // where no server may take a query, now or later
+constexpr double cut_share = 0.7;       // of the cap; a few cuts halve it, one does little harm
+constexpr double slow_share = 0.4;      // of the SLO time; the rest is left for the way and a second try
+constexpr double base_factor = 2;       // times the origin's answer time at its least load; then queues
+constexpr double quick_share = 0.15;    // of the SLO time; so quick a server has room to spare
 constexpr double all_slow_share = 0.6;  // of the SLO time; over one server's, as some are slow of themselves
 constexpr double all_weight = 0.1;      // of a new answer in the mean of all servers; the last ten
 constexpr double slow_weight = 0.2;     // of a new answer in the mean; about the last five answers
+constexpr double news_memory = 4;       // s; what a server did before then says little of its load now
 constexpr double quiet_limit = 12;      // mean answer times of silence; rare by chance even where work varies
 constexpr double bad_weight = 0.3;      // of a broken execution in the mean; two in a row condemn
 constexpr double error_weight = 0.2;    // of an error answer, maybe the query's own fault; four condemn
@@ -48,6 +49,7 @@
 constexpr double repeat_burst = 10;     // repeats saved up; enough for what one dying server held
 constexpr double hold_share = 0.25;     // of the SLO time that a query may wait for room
 constexpr double excess_room = 0.5;     // of all caps; beyond-share queries keep out of the other half
+constexpr double tenant_burst = 4;      // queries; a proxy's small part of a share comes unevenly
 constexpr std::size_t drain_batch = 16; // held queries looked at for one freed place; bounds the CPU
 constexpr double first_call_gap = 0.5;  // s between calls for the list after a lost one, doubling
 constexpr double most_call_gap = 8;     // s; the list service is never loaded by waiting proxies
@@ -55,15 +57,12 @@
 class core final : public router, private memory {
 public:
     core(const settings &given, std::uint32_t seed, double now) : memory(given, seed, now) {
-        double shortest_slo = use_cases_.at(0).slo_time;
-        for (const auto &each : use_cases_)
-            shortest_slo = std::min(shortest_slo, each.slo_time);
-        mean_answer_ = shortest_slo * slow_share / 2;
-        costs_.assign(use_cases_.size(), mean_answer_);
+        mean_answer_ = std::ranges::min(use_cases_, {}, &use_case::slo_time).slo_time * slow_share / 2;
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
-            tenants_.push_back({quota / given.peers, std::max(1.0, quota / given.peers), now});
+            tenants_.push_back({quota / given.peers, std::max(tenant_burst, quota / given.peers), now});
         repeats_ = repeat_burst;
+        own_part_ = chance();
         call_gap_ = first_call_gap;
         all_ = {start_cap / peers_, least_cap / peers_, all_slow_share, all_weight};
         call_at_ = now + chance() * call_gap_;
@@ -92,19 +91,30 @@
 
     // ---- Ring and walk
 
-    void rebuild() {
-        ring_.clear();
+    // Guards against hashing and sorting a large ring anew at every change: points that stay are left alone.
+    void relay() {
         on_ring_.clear();
+        bool shrinks = false;
         for (index id = 0; id < servers_.size(); ++id) {
-            const auto &srv = servers_[id];
+            auto &srv = servers_[id];
             if (srv.as.state != listing::ready || is_origin(srv))
-                continue;
-            on_ring_.push_back(id);
-            for (index order = 0; order < srv.points; ++order) {
+                srv.points = 0;
+            else
+                on_ring_.push_back(id);
+            shrinks = shrinks || srv.laid > srv.points;
+        }
+        if (shrinks)
+            std::erase_if(ring_,
+                          [&](const point &each) { return each.order >= servers_[each.server].points; });
+        const auto kept = static_cast<std::ptrdiff_t>(ring_.size());
+        for (index id = 0; id < servers_.size(); ++id) {
+            auto &srv = servers_[id];
+            for (index order = srv.laid; order < srv.points; ++order)
                 ring_.push_back({ring_hash(srv.id + ":" + std::to_string(order)), id, order});
-            }
+            srv.laid = srv.points;
         }
-        std::sort(ring_.begin(), ring_.end());
+        std::sort(ring_.begin() + kept, ring_.end());
+        std::inplace_merge(ring_.begin(), ring_.begin() + kept, ring_.end());
     }
 
     // The figures that depend on every server: who can take work, and how much.
@@ -114,7 +124,7 @@
         // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
         mass_doubt_ = suspects * 2 > on_ring_.size();
         usable_ = 0;
-        room_ = all_.parts = 0;
+        all_.parts = 0;
         for (index id : on_ring_) {
             auto &srv = servers_[id];
             srv.active = static_cast<index>(std::ceil(srv.points * warmth(srv)));
@@ -122,10 +132,9 @@
                 continue;
             ++usable_;
             all_.parts += warmth(srv);
-            room_ += srv.lim.cap;
         }
         usable_ = std::max<index>(1, usable_);
-        room_ = std::min(room_, all_.cap * all_.parts);
+        room_ = all_.cap * all_.parts;
     }
 
     double warmth(const server &srv) const {
@@ -135,15 +144,10 @@
         return std::min(1.0, cold_.start_capacity + (1 - cold_.start_capacity) * gone);
     }
 
-    // Guards "no cold server pushed over": this proxy's part of the budget, in executions of mean work. What
-    // warm servers carry stands for the capacity, which is not told and not less.
-    bool may_push(server &srv) const {
-        if (srv.at != health::cold)
-            return true;
-        const double rate = std::max(cold_.fall_multiple * warmth(srv) * carried_, 1 / cold_.fall_time);
-        srv.pushed = std::max(0.0, srv.pushed - (1 - push_part) * rate * (now_ - srv.pushed_at));
-        srv.pushed_at = now_;
-        return srv.pushed + 1 <= std::max(1.0, push_part * rate * cold_.fall_time);
+    // Guards "no cold server pushed over": it takes part of its keys and, of these, part of the queries, both
+    // as its warmth, so that what all proxies send it keeps under what it can do whatever their number.
+    bool has_room(const server &srv, const query &qry) const {
+        return srv.in_flight + qry.luck < srv.lim.cap * warmth(srv) && now_ >= srv.full_until;
     }
 
     bool usable(index id, const query &qry) const {
@@ -154,24 +158,35 @@
                use_cases_[qry.use_case].effect == effect_kind::idempotent;
     }
 
-    // Walks left from a position and collects the first distinct servers that `accept` takes.
-    template <typename Accept>
-    std::size_t walk(std::uint64_t from, std::array<index, candidate_count> &found, Accept accept) const {
-        std::size_t count = 0;
+    // Walks left from a query's position and collects the first distinct servers that may take it; those in
+    // the own zone go first, and where crossing is dear the last place is kept for one of them.
+    std::vector<index> walk(const query &qry) const {
+        std::vector<index> found;
+        const auto own = [&](index id) { return servers_[id].as.zone == own_zone_; };
+        const auto tried = [&](index id) {
+            return std::any_of(qry.executions.begin(), qry.executions.end(), [&](const execution &each) {
+                return each.server == id && (each.open || each.result != outcome::miss);
+            });
+        };
+        bool at_home = cross_price_ < dear_crossing;
         const std::size_t wanted = std::min<std::size_t>(candidate_count, on_ring_.size());
-        auto at = std::upper_bound(ring_.begin(), ring_.end(), from,
+        auto at = std::upper_bound(ring_.begin(), ring_.end(), qry.hash,
                                    [](std::uint64_t key, const point &each) { return key < each.position; });
-        for (std::size_t seen = 0; seen < ring_.size() && count < wanted; ++seen) {
+        for (std::size_t seen = 0; seen < ring_.size() && found.size() < wanted; ++seen) {
             if (at == ring_.begin())
                 at = ring_.end();
             --at;
-            if (at->order >= servers_[at->server].active)
+            const index id = at->server;
+            const bool waits = !at_home && !own(id) && found.size() + 1 == wanted && seen < zone_walk;
+            if (waits || at->order >= servers_[id].active ||
+                std::find(found.begin(), found.end(), id) != found.end() || tried(id) || !usable(id, qry) ||
+                !may_go(qry, id))
                 continue;
-            const auto end = found.begin() + static_cast<std::ptrdiff_t>(count);
-            if (std::find(found.begin(), end, at->server) == end && accept(at->server))
-                found[count++] = at->server;
+            at_home = at_home || own(id);
+            found.push_back(id);
         }
-        return count;
+        std::stable_partition(found.begin(), found.end(), own);
+        return found;
     }
 
     index choose(const query &qry) {
@@ -180,64 +195,49 @@
                               servers_[origin_].in_flight < std::max(1.0, servers_[origin_].lim.cap);
             return free && may_go(qry, origin_) ? origin_ : none;
         }
-        std::array<index, candidate_count> found{};
-        const std::size_t count = walk(qry.hash, found, [&](index id) {
-            const bool tried =
-                std::any_of(qry.executions.begin(), qry.executions.end(), [&](const execution &each) {
-                    return each.server == id && (each.open || each.result != outcome::miss);
-                });
-            return !tried && usable(id, qry) && may_go(qry, id);
-        });
-        const double mean = (total_in_flight_ + 1.0) / usable_;
-        const double limit = std::max(spill_floor, std::ceil(spill_factor * mean));
-        index best = count > 0 || on_ring_.empty() ? none : nobody;
-        for (std::size_t i = 0; i < count; ++i) {
-            auto &srv = servers_[found[i]];
+        const auto found = walk(qry);
+        const auto most = std::max(spill_floor, std::ceil(spill_factor * (total_in_flight_ + 1.0) / usable_));
+        index best = !found.empty() || on_ring_.empty() ? none : nobody;
+        for (index id : found) {
+            auto &srv = servers_[id];
             if (srv.at == health::suspect && !mass_doubt_) {
                 srv.trial_at = now_ + srv.gap;
-                return found[i];
+                return id;
             }
-            // Guards against many proxies each holding one execution too many at every server.
-            if (total_in_flight_ >= room_ && srv.lim.slow > quick_share)
-                continue;
-            if (srv.in_flight >= std::max(1.0, srv.lim.cap) || now_ < srv.full_until || !may_push(srv))
+            // Guards against many proxies each holding one execution too many at every server: a part of one
+            // is open to that part of the queries, so that the sum over all proxies keeps the limit.
+            if ((total_in_flight_ + qry.luck >= room_ && srv.lim.slow > quick_share) || !has_room(srv, qry))
                 continue;
-            if (srv.in_flight + 1 <= limit)
-                return found[i];
+            if (srv.in_flight + 1 <= most)
+                return id;
             if (best >= nobody || srv.in_flight < servers_[best].in_flight)
-                best = found[i];
+                best = id;
         }
         return best;
     }
 
     // ---- Queries
 
-    // The earliest execution that is still out or may have run.
-    static const execution *first_doubt(const query &qry) {
-        const auto found =
-            std::find_if(qry.executions.begin(), qry.executions.end(),
-                         [](const execution &each) { return each.open || !never_ran(each.result); });
-        return found == qry.executions.end() ? nullptr : &*found;
-    }
-
     // Guards "no effect twice" for every send after the first and, with no server, for a rejection.
     bool may_go(const query &qry, index id) const {
-        const auto *doubt = first_doubt(qry);
         const auto &use = use_cases_[qry.use_case];
-        if (!doubt || use.effect == effect_kind::idempotent)
+        const auto doubt = // the earliest execution that is still out or may have run
+            std::find_if(qry.executions.begin(), qry.executions.end(),
+                         [](const execution &each) { return each.open || !never_ran(each.result); });
+        if (doubt == qry.executions.end() || use.effect == effect_kind::idempotent)
             return true;
         if (use.effect == effect_kind::non_idempotent || now_ >= doubt->sent + use.window - end_margin_)
             return false;
-        const bool anywhere = id == none; // the client may come back through any server
-        return use.group == repeat_group::all ||
-               (!anywhere && use.group == repeat_group::zone &&
-                servers_[doubt->server].as.zone == servers_[id].as.zone) ||
-               (!anywhere && use.group == repeat_group::cell &&
-                servers_[doubt->server].as.cell == servers_[id].as.cell);
+        if (use.group == repeat_group::all || id == none) // the client may come back through any server
+            return use.group == repeat_group::all;
+        const auto &one = servers_[doubt->server].as, &two = servers_[id].as;
+        return use.group == repeat_group::zone ? one.zone == two.zone : one.cell == two.cell;
     }
 
     input admit(index id) {
-        return queries_[id].excess && total_in_flight_ >= room_ * excess_room ? input::hopeless : input::go;
+        return queries_[id].excess && total_in_flight_ + queries_[id].luck >= room_ * excess_room
+                   ? input::hopeless
+                   : input::go;
     }
 
     input place(index id) {
@@ -257,24 +257,16 @@
         std::erase(held_, id);
         took(srv);
         ++srv.in_flight;
-        ++srv.pushed;
         total_in_flight_ += to != origin_;
         ++qry.open;
         qry.executions.push_back({to, now_});
         actions.push_back({action_kind::send, id, to, 0, 0});
     }
 
-    // What an answer to a query is worth, for each second that its use case takes.
-    double value(index id) const {
-        const auto &qry = queries_[id];
-        return use_cases_[qry.use_case].importance * (qry.excess ? excess_importance_ : 1) /
-               costs_[qry.use_case];
-    }
-
     input queue(index id) {
         auto &qry = queries_[id];
         if (std::find(held_.begin(), held_.end(), id) == held_.end()) {
-            const auto less = [&](index one, index two) { return value(one) > value(two); };
+            const auto less = [&](index one, index two) { return queries_[one].worth > queries_[two].worth; };
             held_.insert(std::upper_bound(held_.begin(), held_.end(), id, less), id);
             due_.push({qry.hold_end, id, qry.generation});
         }
@@ -282,9 +274,8 @@
     }
 
     input finish(index id) {
-        auto &qry = queries_[id];
-        const auto kind = may_go(qry, none) ? action_kind::reject : action_kind::abort;
-        actions.push_back({kind, id, none, 0, allow_.max_advice});
+        actions.push_back({may_go(queries_[id], none) ? action_kind::reject : action_kind::abort, id});
+        actions.back().time = allow_.max_advice;
         return drop(id);
     }
 
@@ -316,8 +307,8 @@
         auto &qry = queries_[id];
         if (origin_ == none)
             return input::hopeless;
-        qry.hold_end = std::max(qry.hold_end, now_ + use_cases_[qry.use_case].slo_time * hold_share);
-        qry.hold_end = std::min(qry.hold_end, qry.end);
+        const double until = now_ + use_cases_[qry.use_case].slo_time * hold_share;
+        qry.hold_end = std::clamp(until, qry.hold_end, qry.end);
         if (qry.has_key && fetches_.contains(qry.key) && qry.executions.size() + 2 <= allow_.max_executions) {
             qry.follows = true;
             return input::wait;
@@ -359,6 +350,21 @@
         }
     }
 
+    // Guards against keys hotter than their candidates: by its share of the latest queries, alike at all
+    // proxies, a key gets more places on the ring, and each proxy uses one.
+    index place_of(std::uint64_t key) {
+        recent_.push_back(key);
+        const double count = ++seen_[key];
+        if (recent_.size() > recent_keys) {
+            const auto oldest = seen_.find(recent_.front());
+            recent_.pop_front();
+            if (--oldest->second == 0)
+                seen_.erase(oldest);
+        }
+        const double servers = (count - 1) / recent_keys * static_cast<double>(on_ring_.size());
+        return static_cast<index>(own_part_ * std::max(1.0, std::ceil(hot_factor * servers)));
+    }
+
     void arrived(double now, const new_query &from) override {
         now_ = now;
         if (from.query >= queries_.size())
@@ -374,25 +380,28 @@
         qry.use_case = from.use_case;
         qry.has_key = from.has_key;
         qry.key = from.key;
-        std::array<char, 24> text{};
         const std::uint64_t key = from.has_key ? from.key : (std::uint64_t{chance_()} << 31) + chance_();
-        const auto end = std::to_chars(text.data(), text.data() + text.size(), key).ptr;
-        qry.hash = ring_hash({text.data(), static_cast<std::size_t>(end - text.data())});
+        const index at = from.has_key ? place_of(key) : 0;
+        qry.hash =
+            ring_hash(std::to_string(key) + (at > 0 ? std::string("/").append(std::to_string(at)) : ""));
         qry.end = from.statement_end - end_margin_;
+        qry.luck = chance();
         qry.hold_end = std::min(qry.end, now + use_cases_[qry.use_case].slo_time * hold_share);
         repeats_ = std::min(repeat_burst, repeats_ + repeat_share);
         if (from.tenant < tenants_.size()) {
             auto &share = tenants_[from.tenant];
-            share.tokens = std::min(std::max(1.0, share.rate), share.tokens + share.rate * (now - share.at));
+            share.tokens =
+                std::min(std::max(tenant_burst, share.rate), share.tokens + share.rate * (now - share.at));
             share.at = now;
             qry.excess = share.rate > 0 && share.tokens < 1;
             share.tokens -= qry.excess ? 0 : 1;
         }
+        qry.worth = use_cases_[qry.use_case].importance * (qry.excess ? excess_importance_ : 1);
         due_.push({qry.end, from.query, generation});
         feed(from.query, input::arrives);
     }
 
-    void ended(double now, index id, index number, outcome result, bool over) override {
+    void ended(double now, index id, index number, outcome result, bool over, bool fetched) override {
         now_ = now;
         auto &qry = queries_[id];
         if (number >= qry.executions.size() || !qry.executions[number].open)
@@ -405,25 +414,18 @@
         took(srv);
         const double elapsed = now - run.sent;
         const bool answered = is_answer(result);
-        if (answered)
-            srv.quiet = 0;
+        srv.quiet = answered ? 0 : srv.quiet;
         const bool broken = result == outcome::reset || result == outcome::connect_error;
         const double worse = broken ? bad_weight : result == outcome::error ? error_weight : 0;
         srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
         if (result == outcome::completed || result == outcome::miss) {
-            srv.pushed += std::max(0.0, elapsed / mean_answer_ - 1); // it was more work than it was taken for
-            answers_ += run.server != origin_;
-            auto &cost = costs_[qry.use_case];
-            cost += slow_weight / 4 * (elapsed - cost);
-            srv.mean += slow_weight * (elapsed - srv.mean);
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
-            learn(srv, run.sent, elapsed / use_cases_[qry.use_case].slo_time);
+            learn(srv, run.sent, elapsed / use_cases_[qry.use_case].slo_time, fetched);
         } else if (result == outcome::queue_full) {
-            srv.lim.slow = std::max(srv.lim.slow, 1.0);
             srv.full_until = now + mean_answer_;
-            learn(srv, run.sent, 1);
+            learn(srv, run.sent, 1, false);
         } else if (result == outcome::timed_out) { // guards against a jam whose answers never come to be seen
-            learn(srv, run.sent, std::max(1.0, elapsed / use_cases_[qry.use_case].slo_time));
+            learn(srv, run.sent, std::max(1.0, elapsed / use_cases_[qry.use_case].slo_time), false);
         }
         --srv.in_flight;
         total_in_flight_ -= run.server != origin_;
@@ -459,7 +461,10 @@
     void grow_or_cut(limit &lim, double sent, double share, bool reached) {
         if (sent < lim.cut_at)
             return;
-        lim.slow += lim.weight * (share - lim.slow);
+        // Old news weighs less: of many servers each is heard of rarely.
+        lim.slow +=
+            std::max(lim.weight, 1 - std::exp((lim.heard_at - now_) / news_memory)) * (share - lim.slow);
+        lim.heard_at = now_;
         if (lim.slow <= std::max(lim.target, base_factor * lim.base)) {
             lim.cap += reached ? 1 / std::max(1.0, lim.cap * lim.parts) / lim.parts : 0;
         } else {
@@ -469,7 +474,7 @@
     }
 
     // An answer that took this share of the SLO time: what it says of its server and of the whole.
-    void learn(server &srv, double sent, double share) {
+    void learn(server &srv, double sent, double share, bool fetched) {
         auto &lim = srv.lim;
         if (is_origin(srv)) {
             // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
@@ -478,7 +483,8 @@
             return grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap);
         }
         const bool all_reached = total_in_flight_ + 1 > room_;
-        grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached);
+        if (!fetched) // an answer that had to come from the origin says little of the server itself
+            grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached);
         // Guards against jams of which each of many proxies sees too little at any one server.
         if (srv.at == health::ready)
             grow_or_cut(all_, sent, share, all_reached);
@@ -487,8 +493,8 @@
     sign condemn(index id) {
         auto &srv = servers_[id];
         srv.condemned_at = now_;
-        srv.gap = trial_gap;
-        srv.trial_at = now_ + srv.gap;
+        srv.gap = trial_gap / 2;
+        back_off(id);
         refresh();
         for (index each = 0; each < queries_.size(); ++each) {
             const auto &qry = queries_[each];
@@ -517,8 +523,7 @@
     sign chill(index id) {
         restore(id);
         auto &srv = servers_[id];
-        srv.cold_since = srv.pushed_at = now_;
-        srv.pushed = 0;
+        srv.cold_since = now_;
         srv.lim.cap = cold_cap;
         srv.lim.slow = 0;
         return sign::nothing;
@@ -553,8 +558,7 @@
             const bool fresh = srv.as.server == none;
             if (fresh) {
                 srv.id = entry.id;
-                srv.mean = mean_answer_;
-                srv.lim = {start_cap / peers_, least_cap / peers_, slow_share, slow_weight};
+                srv.lim = {std::max(1.0, start_cap / peers_), least_cap / peers_, slow_share, slow_weight};
                 srv.quiet_at = now;
             }
             const bool restarted = entry.started > srv.as.started;
@@ -563,17 +567,15 @@
             const double weight = allow_.weights_live ? 1 : entry.weight;
             srv.points =
                 static_cast<index>(std::clamp(std::round(weight * points_per_weight), 1.0, most_points));
-            if (is_origin(srv)) {
+            if (is_origin(srv))
                 origin_ = entry.server;
-                continue;
-            }
-            if ((restarted || (fresh && kind == list_kind::changes)) &&
-                now - entry.started < cold_.warm_time) {
+            else if ((restarted || (fresh && kind == list_kind::changes)) &&
+                     now - entry.started < cold_.warm_time) {
                 feel(entry.server, sign::reborn);
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
             }
         }
-        rebuild();
+        relay();
         refresh();
         drain();
     }
@@ -589,7 +591,7 @@
         for (const index id : on_ring_) {
             auto &srv = servers_[id];
             took(srv);
-            if (srv.at != health::suspect && srv.quiet > quiet_limit * std::max(srv.mean, mean_answer_))
+            if (srv.at != health::suspect && srv.quiet > quiet_limit * mean_answer_)
                 feel(id, sign::struck);
             if (srv.at == health::cold && warmth(srv) >= 1)
                 feel(id, sign::warmed);
@@ -598,9 +600,6 @@
                 srv.trial_at = now + srv.gap;
             }
         }
-        rate_ += sweep_period / rate_memory * (answers_ / sweep_period / usable_ - rate_);
-        carried_ = std::max(rate_, carried_ * (1 - sweep_period / carried_memory));
-        answers_ = 0;
         refresh();
         while (!due_.empty() && due_.top().at <= now) {
             const due top = due_.top();
@@ -620,10 +619,8 @@
         State next;
         Input (core::*effect)(index);
     };
-    using query_row = table_row<stage, input>;
-    using server_row = table_row<health, sign>;
-    static const std::array<query_row, 16> query_table;
-    static const std::array<server_row, 8> server_table;
+    static const std::array<table_row<stage, input>, 16> query_table;
+    static const std::array<table_row<health, sign>, 8> server_table;
     input none_more(index) { return input::nothing; }
     input retry(index) { return input::go; }
     bool is_origin(const server &srv) const { return origin_kind_ != none && srv.as.kind == origin_kind_; }
@@ -635,7 +632,7 @@
 };
 
 // What a query does next. A row that is missing means: nothing happens.
-const std::array<core::query_row, 16> core::query_table = {{
+const std::array<core::table_row<stage, input>, 16> core::query_table = {{
     {stage::held, input::arrives, stage::held, &core::admit},
     {stage::held, input::go, stage::held, &core::place},
     {stage::held, input::sent, stage::running, &core::none_more},
@@ -655,7 +652,7 @@
 }};
 
 // How a server is thought of. `reborn`: its process started anew, so its cache and its speed did too.
-const std::array<core::server_row, 8> core::server_table = {{
+const std::array<core::table_row<health, sign>, 8> core::server_table = {{
     {health::ready, sign::struck, health::suspect, &core::condemn},
     {health::cold, sign::struck, health::suspect, &core::condemn},
     {health::suspect, sign::struck, health::suspect, &core::back_off},
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -39,8 +39,6 @@
 struct cold_rule {
     double start_capacity = 1; // share of its capacity that a started server has at least
     double warm_time = 0;      // s until it is warm at the latest
-    double fall_multiple = 1;  // times its capacity of the moment ...
-    double fall_time = 0;      // ... for so many s push it over
 };
 
 struct settings {
@@ -49,6 +47,9 @@
     std::vector<use_case> use_cases;
     std::vector<double> tenant_quota; // queries a second inside each tenant's share, over all proxies
     double excess_importance = 1;     // what a query beyond the share is worth, as a share of its importance
+    index own_zone = none;            // where this proxy is
+    double cross_price = 0;           // of an execution that crosses zones, as a share of a query's worth
+    double origin_price = 0;          // of a fetch from the origin, likewise
     index peers = 1;                  // proxies in all, this one included
     index origin_kind = none;         // aside mode: the kind of the list's origin entry
     double tick = 0.005;              // shortest time between two batches of events
--- a/src/simlink/simlink.cpp
+++ b/src/simlink/simlink.cpp
@@ -101,6 +101,8 @@
         return number(path, absent * 1000) / 1000;
     }
     index count(const std::string &path, index absent) const {
+        if (text(path).empty())
+            return absent;
         const double value = number(path, absent);
         if (value > 65536) // more of anything than any deployment lists
             throw bad_line{"a count is too large"};
@@ -134,6 +136,9 @@
     for (index i = 0; i < given.count("tenants.count", 0); ++i)
         to.tenant_quota.push_back(given.number("tenants." + std::to_string(i) + ".quotaRps", 0));
     to.excess_importance = given.number("excessImportance", 1);
+    to.own_zone = given.count("locality", none);
+    to.cross_price = given.number("fees.crossZone", 0);
+    to.origin_price = given.number("fees.origin", 0);
     to.peers = std::max<index>(1, given.count("peersTotal", 1));
     to.origin_kind =
         given.text("familyInfo.mode") == "aside" ? given.count("familyInfo.originKind", none) : none;
@@ -149,8 +154,6 @@
     to.tick = given.seconds("tickMs", 0.005);
     to.cold.start_capacity = given.number("rules.startCapacity", 1);
     to.cold.warm_time = given.seconds("rules.coldMs", 0);
-    to.cold.fall_multiple = given.number("rules.fallMultiple", 1);
-    to.cold.fall_time = std::max(0.001, given.seconds("rules.fallMs", 1));
     return to;
 }
 
@@ -410,10 +413,11 @@
     const string_view over = line.word();
     if (over != "0" && over != "1")
         throw bad_line{"noMore is neither 0 nor 1"};
+    const auto note = line.maybe<index>("the detail is no number").value_or(0);
     if (found == to.query_index.end())
         throw bad_line{"unknown request"};
-    to.decides->ended(now_, found->second, execution, static_cast<outcome>(code - codes.begin()),
-                      over == "1");
+    to.decides->ended(now_, found->second, execution, static_cast<outcome>(code - codes.begin()), over == "1",
+                      note > 1);
 }
 
 void wire_link::put(double seconds) {
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -47,7 +47,7 @@
             route->actions.clear();
             route->arrived(0, made);
             to[round][key] = route->actions.at(0).server;
-            route->ended(0, 0, 0, outcome::completed, true);
+            route->ended(0, 0, 0, outcome::completed, true, false);
             share[to[round][key]] += round == 0;
         }
     }
--- a/tests/script.hpp
+++ b/tests/script.hpp
@@ -70,10 +70,10 @@
         words >> value;
         auto &cold = settings_.cold;
         auto &allow = settings_.allow;
-        const std::map<std::string, double *> numbers = {
-            {"start_capacity", &cold.start_capacity}, {"warm_time", &cold.warm_time},
-            {"fall_multiple", &cold.fall_multiple},   {"fall_time", &cold.fall_time},
-            {"max_advice", &allow.max_advice},        {"excess_importance", &settings_.excess_importance}};
+        const std::map<std::string, double *> numbers = {{"start_capacity", &cold.start_capacity},
+                                                         {"warm_time", &cold.warm_time},
+                                                         {"max_advice", &allow.max_advice},
+                                                         {"excess_importance", &settings_.excess_importance}};
         const std::map<std::string, bool *> flags = {{"copies", &allow.second_copies},
                                                      {"may_cancel", &allow.may_cancel},
                                                      {"may_probe", &allow.may_probe},
@@ -147,7 +147,7 @@
             std::string over;
             words >> query >> execution >> word >> over;
             const auto at = std::find(outcomes.begin(), outcomes.end(), word) - outcomes.begin();
-            router_->ended(now, query, execution, static_cast<outcome>(at), over == "over");
+            router_->ended(now, query, execution, static_cast<outcome>(at), over == "over", false);
         } else if (what == "left") {
             index query = 0;
             words >> query;
