--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -192,7 +192,7 @@
     index choose(const query &qry) {
         if (qry.to_origin) {
             const bool free = origin_ != none && servers_[origin_].as.state == listing::ready &&
-                              servers_[origin_].in_flight < std::max(1.0, servers_[origin_].lim.cap);
+                              has_room(servers_[origin_], qry);
             return free && may_go(qry, origin_) ? origin_ : none;
         }
         const auto found = walk(qry);
@@ -468,7 +468,7 @@
         if (lim.slow <= std::max(lim.target, base_factor * lim.base)) {
             lim.cap += reached ? 1 / std::max(1.0, lim.cap * lim.parts) / lim.parts : 0;
         } else {
-            lim.cap = std::max(lim.least, lim.cap * cut_share);
+            lim.cap = std::max(lim.least, lim.cap * std::min(cut_share, lim.target / lim.slow));
             lim.cut_at = now_;
         }
     }
@@ -479,7 +479,7 @@
         if (is_origin(srv)) {
             // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
             // slow by its load, and a late fetch still fills the cache.
-            lim.base = lim.cap <= std::max(1.0, lim.least) ? lim.slow : std::min(lim.base, lim.slow);
+            lim.base = lim.cap <= lim.least ? lim.slow : std::min(lim.base, lim.slow);
             return grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap);
         }
         const bool all_reached = total_in_flight_ + 1 > room_;
@@ -559,6 +559,7 @@
             if (fresh) {
                 srv.id = entry.id;
                 srv.lim = {std::max(1.0, start_cap / peers_), least_cap / peers_, slow_share, slow_weight};
+                srv.lim.slow = 2 * quick_share; // not known to be quick
                 srv.quiet_at = now;
             }
             const bool restarted = entry.started > srv.as.started;
