--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -29,11 +29,12 @@
 constexpr double sweep_period = 0.05;   // s; short beside any SLO time, cheap at 20 a second
 constexpr double start_cap = 8;         // executions of all proxies at a warm server not yet known
 constexpr double cold_cap = 1;          // executions; the least that still learns
-constexpr double least_cap = 2;         // executions of all proxies; a limit never shuts a server off
-constexpr index nobody = none - 1;      // where no server may take a query, now or later
-constexpr double cut_share = 0.7;       // of the cap; a few cuts halve it, one does little harm
-constexpr double slow_share = 0.4;      // of the SLO time; the rest is left for the way and a second try
-constexpr double base_factor = 2;       // times the origin's answer time at its least load; then queues
+constexpr double cold_haste = 2;   // times its warmth; the part of its keys' queries that a cold server takes
+constexpr double least_cap = 2;    // executions of all proxies; a limit never shuts a server off
+constexpr index nobody = none - 1; // where no server may take a query, now or later
+constexpr double cut_share = 0.7;  // of the cap; a few cuts halve it, one does little harm
+constexpr double slow_share = 0.4; // of the SLO time; the rest is left for the way and a second try
+constexpr double base_factor = 2;  // times the origin's answer time at its least load; then queues
 constexpr double quick_share = 0.15;    // of the SLO time; so quick a server has room to spare
 constexpr double all_slow_share = 0.6;  // of the SLO time; over one server's, as some are slow of themselves
 constexpr double all_weight = 0.1;      // of a new answer in the mean of all servers; the last ten
@@ -147,7 +148,8 @@
     // Guards "no cold server pushed over": it takes part of its keys and, of these, part of the queries, both
     // as its warmth, so that what all proxies send it keeps under what it can do whatever their number.
     bool has_room(const server &srv, const query &qry) const {
-        return srv.in_flight + qry.luck < srv.lim.cap * warmth(srv) && now_ >= srv.full_until;
+        return srv.in_flight + qry.luck < srv.lim.cap * std::min(1.0, cold_haste * warmth(srv)) &&
+               now_ >= srv.full_until;
     }
 
     bool usable(index id, const query &qry) const {
@@ -191,9 +193,8 @@
 
     index choose(const query &qry) {
         if (qry.to_origin) {
-            const bool free = origin_ != none && servers_[origin_].as.state == listing::ready &&
-                              has_room(servers_[origin_], qry);
-            return free && may_go(qry, origin_) ? origin_ : none;
+            const bool there = origin_ != none && servers_[origin_].as.state == listing::ready;
+            return there && has_room(servers_[origin_], qry) && may_go(qry, origin_) ? origin_ : none;
         }
         const auto found = walk(qry);
         const auto most = std::max(spill_floor, std::ceil(spill_factor * (total_in_flight_ + 1.0) / usable_));
@@ -559,7 +560,7 @@
             if (fresh) {
                 srv.id = entry.id;
                 srv.lim = {std::max(1.0, start_cap / peers_), least_cap / peers_, slow_share, slow_weight};
-                srv.lim.slow = 2 * quick_share; // not known to be quick
+                srv.lim.slow = slow_share; // not known to be quick
                 srv.quiet_at = now;
             }
             const bool restarted = entry.started > srv.as.started;
