--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -39,6 +39,7 @@
 constexpr double all_slow_share = 0.6;  // of the SLO time; over one server's, as some are slow of themselves
 constexpr double all_weight = 0.1;      // of a new answer in the mean of all servers; the last ten
 constexpr double slow_weight = 0.2;     // of a new answer in the mean; about the last five answers
+constexpr double trust_memory = 1;      // s; the origin is all there is, so a cut is soon tried again
 constexpr double news_memory = 4;       // s; what a server did before then says little of its load now
 constexpr double quiet_limit = 12;      // mean answer times of silence; rare by chance even where work varies
 constexpr double bad_weight = 0.3;      // of a broken execution in the mean; two in a row condemn
@@ -95,18 +96,14 @@
     // Guards against hashing and sorting a large ring anew at every change: points that stay are left alone.
     void relay() {
         on_ring_.clear();
-        bool shrinks = false;
         for (index id = 0; id < servers_.size(); ++id) {
             auto &srv = servers_[id];
             if (srv.as.state != listing::ready || is_origin(srv))
                 srv.points = 0;
             else
                 on_ring_.push_back(id);
-            shrinks = shrinks || srv.laid > srv.points;
         }
-        if (shrinks)
-            std::erase_if(ring_,
-                          [&](const point &each) { return each.order >= servers_[each.server].points; });
+        std::erase_if(ring_, [&](const point &each) { return each.order >= servers_[each.server].points; });
         const auto kept = static_cast<std::ptrdiff_t>(ring_.size());
         for (index id = 0; id < servers_.size(); ++id) {
             auto &srv = servers_[id];
@@ -148,8 +145,10 @@
     // Guards "no cold server pushed over": it takes part of its keys and, of these, part of the queries, both
     // as its warmth, so that what all proxies send it keeps under what it can do whatever their number.
     bool has_room(const server &srv, const query &qry) const {
-        return srv.in_flight + qry.luck < srv.lim.cap * std::min(1.0, cold_haste * warmth(srv)) &&
-               now_ >= srv.full_until;
+        // Guards against an origin left alone for want of news: what cut its limit is soon forgotten.
+        const double forgot = is_origin(srv) ? 1 - std::exp((srv.lim.heard_at - now_) / trust_memory) : 0;
+        const double cap = std::max(srv.lim.cap, forgot) * std::min(1.0, cold_haste * warmth(srv));
+        return srv.in_flight + qry.luck < cap && now_ >= srv.full_until;
     }
 
     bool usable(index id, const query &qry) const {
