--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -485,8 +485,9 @@
         const bool all_reached = total_in_flight_ + 1 > room_;
         if (!fetched) // an answer that had to come from the origin says little of the server itself
             grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached);
-        // Guards against jams of which each of many proxies sees too little at any one server.
-        if (srv.at == health::ready)
+        // Guards against jams of which each of many proxies sees too little at any one server. A time-out,
+        // with silence before it, says nothing of the other servers.
+        if (srv.at == health::ready && srv.quiet <= 0)
             grow_or_cut(all_, sent, share, all_reached);
     }
 
