--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -142,8 +142,8 @@
         return std::min(1.0, cold_.start_capacity + (1 - cold_.start_capacity) * gone);
     }
 
-    // Guards "no cold server pushed over": it takes part of its keys and, of these, part of the queries, both
-    // as its warmth, so that what all proxies send it keeps under what it can do whatever their number.
+    // Guards "no cold server pushed over": it takes part of its keys by its warmth, and part of their queries
+    // by twice that, so that what all proxies send it keeps under what it can do whatever their number.
     bool has_room(const server &srv, const query &qry) const {
         // Guards against an origin left alone for want of news: what cut its limit is soon forgotten.
         const double forgot = is_origin(srv) ? 1 - std::exp((srv.lim.heard_at - now_) / trust_memory) : 0;
