Sockets, threads, HTTP and JSON out of the proxy: src/net and src/base

Need: the laboratory and every later front stand on the same sockets, buffers, readers and log, which were the proxy's own.

--- a/examples/toy_server.cpp
+++ b/examples/toy_server.cpp
@@ -2,8 +2,8 @@
 // What a proxy needs around it, in one program on loopback: discovery at port 8500 and three cache servers
 // at 9101 to 9103 with an origin behind them that is slow by 50 ms. It shows the protocol and is no more
 // than that. Lines on standard input change the list: "leave 2", "join 2"; "quit" or the end ends it.
-#include "proxy/exchange.hpp"
-#include "proxy/threads.hpp"
+#include "net/exchange.hpp"
+#include "net/threads.hpp"
 
 #include <array>
 #include <condition_variable>
@@ -16,7 +16,7 @@
 
 namespace {
 
-using namespace harrierpass::proxy;
+using namespace harrierpass;
 
 constexpr int servers = 3;
 constexpr double rest_limit = 60; // s that an idle connection is kept
--- a/src/proxy/counters.cpp
+++ b/src/base/counters.cpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/counters.hpp"
+#include "base/counters.hpp"
 
 #include <ostream>
 #include <string_view>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(count::total)> names = {
@@ -31,4 +31,4 @@
     to << std::flush;
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/counters.hpp
+++ b/src/base/counters.hpp
@@ -7,7 +7,7 @@
 #include <cstdint>
 #include <iosfwd>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 // In the order in which they are printed; the names stand in counters.cpp.
 enum class count : std::uint8_t {
@@ -55,4 +55,4 @@
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(count::total)> values_{};
 };
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/json.cpp
+++ b/src/base/json.cpp
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/json.hpp"
+#include "base/json.hpp"
 
-#include "setup/setup.hpp"
+#include "base/text.hpp"
 
 #include <algorithm>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 namespace {
 
 constexpr int most_depth = 32; // levels; guards the small stacks, real messages have five
@@ -223,4 +223,4 @@
     return reader(text).whole();
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/json.hpp
+++ b/src/base/json.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 struct json_member;
 
@@ -32,4 +32,4 @@
 // Throws bad_text. Nested at most 32 deep; a name at most once in an object.
 json read_json(std::string_view text);
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/log.cpp
+++ b/src/base/log.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/log.hpp"
+#include "base/log.hpp"
 
 #include <array>
 #include <chrono>
@@ -8,7 +8,7 @@
 #include <ostream>
 #include <stdexcept>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 namespace {
 
 constexpr std::array<std::string_view, 4> names = {"debug", "info", "warning", "error"};
@@ -36,4 +36,4 @@
     out_.clear(); // guards against one failed write that would silence all later ones
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/log.hpp
+++ b/src/base/log.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 enum class level { debug, info, warning, error };
 
@@ -39,4 +39,4 @@
     level least_;
 };
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/buffers.cpp
+++ b/src/net/buffers.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/buffers.hpp"
+#include "net/buffers.hpp"
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 namespace {
 
 constexpr std::size_t most_at_rest = 128; // buffers; 9 MiB, what a busy proxy uses at a time
@@ -33,4 +33,4 @@
     return free_.size();
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/buffers.hpp
+++ b/src/net/buffers.hpp
@@ -8,7 +8,7 @@
 #include <span>
 #include <vector>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 inline constexpr std::size_t head_limit = 8 * 1024;  // bytes; the protocol's heads have a few hundred
 inline constexpr std::size_t body_limit = 64 * 1024; // bytes; the protocol's
@@ -36,4 +36,4 @@
     return {buffer.get(), buffer_size};
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/exchange.hpp"
+#include "net/exchange.hpp"
 
-#include "proxy/threads.hpp"
+#include "net/threads.hpp"
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 bool exchange(const tcp_socket &with, std::string_view question, http_reader &answer, double limit,
               const std::function<bool()> &over) {
@@ -30,4 +30,4 @@
                        : http_reader::state::cut;
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -2,12 +2,12 @@
 // One question and its answer on a connection, within a time limit.
 #pragma once
 
-#include "proxy/http.hpp"
-#include "proxy/sockets.hpp"
+#include "net/http.hpp"
+#include "net/sockets.hpp"
 
 #include <functional>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 // True: the whole answer is in the reader. A wait that is called ends where `over` says so.
 bool exchange(const tcp_socket &with, std::string_view question, http_reader &answer, double limit,
@@ -16,4 +16,4 @@
 // What one read from a connection brought the reader: `more` also when nothing was there.
 http_reader::state read_into(http_reader &reader, const tcp_socket &from);
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/http.cpp
+++ b/src/net/http.cpp
@@ -1,11 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/http.hpp"
+#include "net/http.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <cstring>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 namespace {
 
 using std::string_view;
@@ -311,4 +311,4 @@
     to.append(name).append(": ").append(value).append("\r\n");
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/http.hpp
+++ b/src/net/http.hpp
@@ -2,14 +2,14 @@
 // A strict, bounded reader of HTTP/1.1 messages (RFC 9112), and what is needed to write them.
 #pragma once
 
-#include "proxy/buffers.hpp"
+#include "net/buffers.hpp"
 
 #include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 struct http_field {
     std::string_view name, value;
@@ -79,4 +79,4 @@
 
 void put_field(std::string &to, std::string_view name, std::string_view value);
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/sockets.hpp"
+#include "net/sockets.hpp"
 
-#include "proxy/threads.hpp"
+#include "net/threads.hpp"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -12,7 +12,7 @@
 #include <sys/uio.h>
 #include <unistd.h>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 namespace {
 
 constexpr int backlog = 1024; // connections; a burst that all its clients open at once
@@ -147,4 +147,4 @@
                                                      : waiting::reset;
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <utility>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 class tcp_socket {
 public:
@@ -55,4 +55,4 @@
 enum class waiting { nothing, bytes, close, reset };
 waiting peek(const tcp_socket &from);
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/threads.cpp
+++ b/src/net/threads.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "proxy/threads.hpp"
+#include "net/threads.hpp"
 
 #include <chrono>
 #include <csignal>
@@ -8,7 +8,7 @@
 #include <mutex>
 #include <system_error>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 namespace {
 
 constexpr int call_signal = SIGUSR2;
@@ -90,4 +90,4 @@
     pthread_join(id_, nullptr);
 }
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/threads.hpp
+++ b/src/net/threads.hpp
@@ -8,7 +8,7 @@
 #include <pthread.h>
 #include <span>
 
-namespace harrierpass::proxy {
+namespace harrierpass {
 
 inline constexpr double forever = 1e9; // s
 
@@ -38,4 +38,4 @@
     pthread_t id_{};
 };
 
-} // namespace harrierpass::proxy
+} // namespace harrierpass
--- a/src/proxy/desk.hpp
+++ b/src/proxy/desk.hpp
@@ -3,7 +3,7 @@
 // decides is handed to the query it names, and that query's thread is called out of its wait.
 #pragma once
 
-#include "proxy/threads.hpp"
+#include "net/threads.hpp"
 #include "router/router.hpp"
 
 #include <functional>
--- a/src/proxy/probe.cpp
+++ b/src/proxy/probe.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "proxy/probe.hpp"
 
-#include "proxy/exchange.hpp"
+#include "net/exchange.hpp"
 
 #include <thread>
 
--- a/src/proxy/probe.hpp
+++ b/src/proxy/probe.hpp
@@ -2,7 +2,7 @@
 // Probes of servers that the router asks for, each on a new connection and a short thread of its own.
 #pragma once
 
-#include "proxy/buffers.hpp"
+#include "net/buffers.hpp"
 #include "proxy/desk.hpp"
 #include "proxy/settings.hpp"
 #include "proxy/upstream.hpp"
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -2,10 +2,10 @@
 // The life of one query, in the thread of its client's connection.
 #pragma once
 
-#include "proxy/buffers.hpp"
-#include "proxy/counters.hpp"
+#include "base/counters.hpp"
+#include "base/log.hpp"
+#include "net/buffers.hpp"
 #include "proxy/desk.hpp"
-#include "proxy/log.hpp"
 #include "proxy/open_ids.hpp"
 #include "proxy/settings.hpp"
 #include "proxy/upstream.hpp"
--- a/src/proxy/settings.hpp
+++ b/src/proxy/settings.hpp
@@ -2,7 +2,7 @@
 // The proxy's configuration, from the platform's JSON.
 #pragma once
 
-#include "proxy/json.hpp"
+#include "base/json.hpp"
 #include "router/types.hpp"
 
 #include <string>
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -2,9 +2,9 @@
 // Where the servers are, and the connections to them that are kept for the next execution.
 #pragma once
 
-#include "proxy/counters.hpp"
-#include "proxy/log.hpp"
-#include "proxy/sockets.hpp"
+#include "base/counters.hpp"
+#include "base/log.hpp"
+#include "net/sockets.hpp"
 #include "router/types.hpp"
 
 #include <deque>
--- a/src/setup/setup.hpp
+++ b/src/setup/setup.hpp
@@ -3,35 +3,15 @@
 // fronts share this reader: each brings its form of the same object to paths first.
 #pragma once
 
+#include "base/text.hpp"
 #include "router/types.hpp"
 
-#include <charconv>
-#include <exception>
 #include <map>
 #include <string>
 #include <string_view>
-#include <type_traits>
 
 namespace harrierpass {
 
-// A text that cannot be used, and why.
-struct bad_text : std::exception {
-    explicit bad_text(const char *fault) : why(fault) {}
-    const char *what() const noexcept override { return why; }
-    const char *why;
-};
-
-template <typename Number> Number parse_number(std::string_view part, const char *fault) {
-    Number value{};
-    const auto [end, error] = std::from_chars(part.data(), part.data() + part.size(), value);
-    if (error != std::errc{} || end != part.data() + part.size())
-        throw bad_text{fault};
-    if constexpr (std::is_floating_point_v<Number>)
-        if (!(value > -1e15 && value < 1e15))
-            throw bad_text{fault};
-    return value;
-}
-
 // Paths and their texts. A list has its length under "path.count"; paths unknown here are never looked up.
 class pairs {
 public:
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -2,7 +2,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "helpers.hpp"
 
-#include "proxy/http.hpp"
+#include "net/http.hpp"
 #include "proxy/service.hpp"
 #include "setup/setup.hpp"
 
