harrierlab on sockets: servers, discovery, load and proxies as processes

Need: the same world that runs in virtual time has to face the real proxy. Change: the models of servers, origin and list get connections in one epoll loop (crash, half-open silence, spoilt bytes, watches); clients send open or closed loop with lateness measured from the due time; proxies run as processes or embedded; fleet, load and proxy commands.

--- /dev/null
+++ b/src/lab/channel.cpp
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/channel.hpp"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+namespace harrierpass::lab {
+
+tcp_socket dial_soon(const address &to) {
+    tcp_socket made(::socket(to.where.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    if (!made)
+        return made;
+    const int on = 1;
+    setsockopt(made.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    if (::connect(made.get(), reinterpret_cast<const sockaddr *>(&to.where), to.size) != 0 &&
+        errno != EINPROGRESS)
+        made.close();
+    return made;
+}
+
+channel::~channel() {
+    end(false);
+}
+
+void channel::start(bool connecting) {
+    connecting_ = connecting;
+    loop_.watch(socket_.get(), EPOLLIN | (connecting ? EPOLLOUT : 0U),
+                [self = weak_from_this()](std::uint32_t events) {
+                    if (const auto here = self.lock())
+                        here->came(events);
+                });
+}
+
+void channel::ask() {
+    if (socket_)
+        loop_.change(socket_.get(), still_ ? 0U : EPOLLIN | (connecting_ || !out_.empty() ? EPOLLOUT : 0U));
+}
+
+void channel::stand(bool still) {
+    still_ = still;
+    ask();
+}
+
+void channel::send(std::string_view text) {
+    out_ += text;
+    if (!connecting_ && !still_)
+        write();
+}
+
+void channel::write() {
+    while (socket_ && !out_.empty()) {
+        const auto wrote = ::send(socket_.get(), out_.data(), out_.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (wrote < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return ask();
+        if (wrote <= 0)
+            return lost(ending::reset);
+        out_.erase(0, static_cast<std::size_t>(wrote));
+        if (out_.empty())
+            ask();
+    }
+}
+
+void channel::end(bool reset) {
+    if (!socket_)
+        return;
+    loop_.forget(socket_.get());
+    if (reset) {
+        const linger none_left{1, 0};
+        setsockopt(socket_.get(), SOL_SOCKET, SO_LINGER, &none_left, sizeof none_left);
+    }
+    socket_.close();
+    // The reader may be in use further up the stack: a message's owner ends its connection from within.
+}
+
+void channel::lost(ending how) {
+    if (!socket_)
+        return;
+    const auto self = shared_from_this();
+    end(false);
+    if (const auto call = on_end)
+        call(self, how);
+}
+
+void channel::came(std::uint32_t events) {
+    const auto self = shared_from_this();
+    if (still_) { // errors are told whatever is asked for
+        if ((events & (EPOLLERR | EPOLLHUP)) != 0)
+            lost(ending::reset);
+        return;
+    }
+    if (connecting_ && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0) {
+        int failed = 0;
+        socklen_t size = sizeof failed;
+        getsockopt(socket_.get(), SOL_SOCKET, SO_ERROR, &failed, &size);
+        if (failed != 0)
+            return lost(ending::failed);
+        connecting_ = false;
+        ask();
+    }
+    if ((events & EPOLLOUT) != 0)
+        write();
+    if (socket_ && (events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0)
+        read();
+}
+
+void channel::read() {
+    while (socket_ && !still_) {
+        if (!buffer_) {
+            buffer_ = std::make_unique<char[]>(buffer_size);
+            reader_ = std::make_unique<http_reader>(std::span(buffer_.get(), buffer_size), side_);
+        }
+        auto state = http_reader::state::more;
+        const long got = read_some(socket_, reader_->room().data(), reader_->room().size());
+        if (got == -2) {
+            if (!reader_->begun()) {
+                reader_.reset();
+                buffer_.reset();
+            }
+            return;
+        }
+        if (got > 0) {
+            begun_ = true;
+            state = reader_->took(static_cast<std::size_t>(got));
+        } else {
+            state = got == 0 ? reader_->ended() : http_reader::state::cut;
+        }
+        if (state == http_reader::state::more)
+            continue;
+        if (state == http_reader::state::cut)
+            return lost(got == 0 ? ending::closed : ending::reset);
+        if (state != http_reader::state::whole)
+            return lost(ending::malformed);
+        while (state == http_reader::state::whole) {
+            ++messages;
+            begun_ = false;
+            on_message(shared_from_this(), *reader_);
+            if (!socket_)
+                return;
+            const std::string rest(reader_->rest());
+            std::memcpy(buffer_.get(), rest.data(), rest.size());
+            reader_ =
+                std::make_unique<http_reader>(std::span(buffer_.get(), buffer_size), side_, rest.size());
+            if (rest.empty()) {
+                reader_.reset();
+                buffer_.reset();
+                break;
+            }
+            state = reader_->look();
+        }
+        if (state != http_reader::state::whole && state != http_reader::state::more)
+            return lost(ending::malformed);
+        if (got == 0)
+            return lost(ending::closed);
+    }
+}
+
+} // namespace harrierpass::lab
--- /dev/null
+++ b/src/lab/channel.hpp
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+// One HTTP connection in a loop, either side of it: whole messages come out, text goes in, nothing blocks. A
+// connection at rest holds no buffer.
+#pragma once
+
+#include "lab/loop.hpp"
+#include "net/http.hpp"
+#include "net/sockets.hpp"
+
+#include <memory>
+#include <string>
+
+namespace harrierpass::lab {
+
+class channel : public std::enable_shared_from_this<channel> {
+public:
+    enum class ending { closed, reset, malformed, failed };
+
+    channel(loop &in, tcp_socket socket, http_reader::side reads)
+        : loop_(in), socket_(std::move(socket)), side_(reads) {}
+    ~channel();
+
+    // Called from the loop; each may end the channel.
+    std::function<void(const std::shared_ptr<channel> &, const http_reader &)> on_message;
+    std::function<void(const std::shared_ptr<channel> &, ending)> on_end; // the other side's doing; once
+
+    void start(bool connecting); // watches; connecting: until it is up, what is sent waits
+    void send(std::string_view text);
+    void stand(bool still); // neither reads nor writes, as a machine that is gone
+    void end(bool reset);   // without on_end
+    bool open() const { return static_cast<bool>(socket_); }
+    bool heard() const { return begun_; } // part of a message has come
+
+    // The owner's: what it knows the connection by, and when it was last used, s.
+    std::uint64_t tag = 0;
+    double used = 0;
+    std::uint64_t messages = 0; // that came
+
+private:
+    void came(std::uint32_t events);
+    void read();
+    void write();
+    void lost(ending how);
+    void ask();
+
+    loop &loop_;
+    tcp_socket socket_;
+    const http_reader::side side_;
+    std::unique_ptr<char[]> buffer_;
+    std::unique_ptr<http_reader> reader_;
+    std::string out_;
+    bool connecting_ = false, still_ = false, begun_ = false;
+};
+
+// Starts to connect; without a socket where none can be had.
+tcp_socket dial_soon(const address &to);
+
+} // namespace harrierpass::lab
--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -33,7 +33,7 @@
 }
 
 void clients::start() {
-    began_ = clock_.now();
+    began_ = next_due_ = clock_.now();
     clock_.at(began_ + given_.length, [this] { over_ = true; });
     for (index i = 0; i < given_.load.closed; ++i)
         clock_.after(chance_.part() * std::max(0.01, given_.load.think),
@@ -59,13 +59,15 @@
 
 // The rate changes little between two arrivals, so that of the present is taken.
 void clients::next_arrival() {
-    clock_.after(chance_.exponential(1 / std::max(1e-6, rate())), [this] { arrive(); });
+    // From when the last one was due, not from when this thread got round to it.
+    next_due_ += chance_.exponential(1 / std::max(1e-6, rate()));
+    clock_.at(next_due_, [this] { arrive(); });
 }
 
 void clients::arrive() {
     if (over_)
         return;
-    begin(clock_.now(), none);
+    begin(next_due_, none);
     next_arrival();
 }
 
--- a/src/lab/clients.hpp
+++ b/src/lab/clients.hpp
@@ -89,7 +89,7 @@
     std::vector<double> sums_; // of popularity, by rank
     std::vector<double> uses_; // of shares, by use case
     std::vector<double> floods_;
-    double began_ = 0, burst_ = 1, slot_length_ = 1;
+    double began_ = 0, next_due_ = 0, burst_ = 1, slot_length_ = 1;
     bool over_ = false;
     index pauses_ = 0;
     std::vector<std::pair<operation, double>> held_; // due while paused
--- a/src/lab/deciders.cpp
+++ b/src/lab/deciders.cpp
@@ -228,4 +228,31 @@
     return std::make_unique<baseline>(by, given, seed, now);
 }
 
+decider_maker maker_of(decider by) {
+    switch (by) {
+    case decider::random:
+        return [](const settings &given, std::uint32_t seed, double now) {
+            return make_decider(decider::random, given, seed, now);
+        };
+    case decider::least_of_two:
+        return [](const settings &given, std::uint32_t seed, double now) {
+            return make_decider(decider::least_of_two, given, seed, now);
+        };
+    case decider::plain_ring:
+        return [](const settings &given, std::uint32_t seed, double now) {
+            return make_decider(decider::plain_ring, given, seed, now);
+        };
+    case decider::module:
+        break;
+    }
+    return make_router;
+}
+
+decider_maker maker_of(const std::string &name) {
+    for (const decider each : {decider::module, decider::random, decider::least_of_two, decider::plain_ring})
+        if (name == name_of(each))
+            return maker_of(each);
+    throw bad_experiment("no decider is called " + name + ": module, random, least_of_two, plain_ring");
+}
+
 } // namespace harrierpass::lab
--- a/src/lab/deciders.hpp
+++ b/src/lab/deciders.hpp
@@ -16,6 +16,11 @@
 
 namespace harrierpass::lab {
 
+// The same as a plain function, as the proxy takes it; throws bad_experiment for a name that is none.
+using decider_maker = std::unique_ptr<router> (*)(const settings &given, std::uint32_t seed, double now);
+decider_maker maker_of(decider by);
+decider_maker maker_of(const std::string &name);
+
 std::unique_ptr<router> make_decider(decider by, const settings &given, std::uint32_t seed, double now);
 
 } // namespace harrierpass::lab
--- /dev/null
+++ b/src/lab/loop.hpp
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+// One thread that waits for many sockets and for what is due: the laboratory's side of a run on sockets. Its
+// timeline follows the machine's clock (Unix time), so that the same models run in it as in virtual time.
+#pragma once
+
+#include "lab/histogram.hpp"
+#include "lab/timeline.hpp"
+
+#include <functional>
+#include <unordered_map>
+
+namespace harrierpass::lab {
+
+class loop {
+public:
+    loop();
+    ~loop();
+    loop(const loop &) = delete;
+    loop &operator=(const loop &) = delete;
+
+    timeline clock;
+
+    // `what` is called with the epoll events that came. One entry a descriptor.
+    void watch(int fd, std::uint32_t events, std::function<void(std::uint32_t)> what);
+    void change(int fd, std::uint32_t events);
+    void forget(int fd); // also within a call; a call for it that is due then is left out
+
+    void run(const std::function<bool()> &over);
+    // How much later than due the loop got round to things, s: what is over some ms tells of a busy machine.
+    const histogram &lateness() const { return lateness_; }
+
+private:
+    double unix_now() const;
+    struct entry {
+        std::function<void(std::uint32_t)> what;
+        std::uint64_t serial;
+    };
+    const double offset_; // Unix time less the steady clock's, s
+    int epoll_;
+    std::uint64_t serial_ = 0;
+    std::unordered_map<int, entry> entries_;
+    histogram lateness_;
+};
+
+} // namespace harrierpass::lab
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -1,13 +1,21 @@
 // SPDX-License-Identifier: Apache-2.0
 // harrierlab: the laboratory's command line. Exit codes: 0 all is well; 1 a rule was broken; 2 the command
 // line or an experiment is not usable; 3 the machine was too slow for the run, which does not count.
+#include "lab/deciders.hpp"
+#include "lab/fleet_shell.hpp"
 #include "lab/plot.hpp"
 #include "lab/report.hpp"
+#include "lab/socket_run.hpp"
 #include "lab/virtual_run.hpp"
 
+#include "proxy/service.hpp"
+
 #include <CLI/CLI.hpp>
+#include <array>
 #include <atomic>
+#include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -23,6 +31,7 @@
     std::vector<std::string> files;
     std::vector<std::uint32_t> seeds;
     std::string results, plot, trace;
+    socket_options sockets;
     unsigned jobs = 1;
     bool is_virtual = false, quiet = false;
 };
@@ -57,13 +66,16 @@
             run_options options;
             options.progress = how.quiet ? nullptr : &std::cerr;
             options.trace = trace.is_open() && i == 0 ? &trace : nullptr;
-            made[i] = run_virtual(given, *tasks[i].as, tasks[i].seed, options);
+            socket_options on = how.sockets;
+            on.progress = options.progress;
+            made[i] = how.is_virtual ? run_virtual(given, *tasks[i].as, tasks[i].seed, options)
+                                     : run_on_sockets(given, *tasks[i].as, tasks[i].seed, on);
             const std::lock_guard hold(lock);
             print(std::cout, made[i], true);
         }
     };
     std::vector<std::thread> threads;
-    for (unsigned i = 1; i < how.jobs; ++i)
+    for (unsigned i = 1; how.is_virtual && i < how.jobs; ++i)
         threads.emplace_back(work);
     work();
     for (auto &each : threads)
@@ -111,6 +123,22 @@
     return verdict(all);
 }
 
+int be_proxy(const std::string &by, const std::string &configuration) {
+    std::string path = configuration, program = "harrierlab";
+    std::array<char *, 3> words = {program.data(), path.data(), nullptr};
+    return proxy::run(2, words.data(), maker_of(by));
+}
+
+int tell(const load_result &of) {
+    std::cout << std::fixed << std::setprecision(3) << "rate " << of.rate
+              << " completed queries a second; p50 " << of.run.p50 * 1e6 << " us, p90 " << of.run.p90 * 1e6
+              << " us, p99 " << of.run.p99 * 1e6 << " us, p99.9 " << of.run.p999 * 1e6 << " us\ncpu "
+              << of.cpu_us << " us a query, generator " << of.own_cpu_us << " us a query; resident "
+              << of.resident_kb << " kB, descriptors " << of.descriptors << '\n';
+    print(std::cout, of.run, true);
+    return verdict({of.run});
+}
+
 } // namespace
 
 int main(int arguments, char **values) {
@@ -125,6 +153,9 @@
         to->add_option("--trace", how.trace, "all that the referee saw of the first run");
         to->add_option("--jobs", how.jobs, "runs at a time, in virtual time")->check(CLI::Range(1, 256));
         to->add_flag("--virtual", how.is_virtual, "in virtual time, not on sockets");
+        to->add_option("--program", how.sockets.program, "the proxy; else the one beside harrierlab");
+        to->add_option("--logs", how.sockets.logs, "a folder for the proxies' logs and configurations");
+        to->add_flag("--embed", how.sockets.embeds, "proxies as threads of this process");
         to->add_flag("--quiet", how.quiet, "no progress");
     };
     auto *const runs = app.add_subcommand("run", "runs experiments and judges them by the rules");
@@ -137,12 +168,62 @@
     auto *const plots = app.add_subcommand("plot", "draws results (JSON lines) as SVG");
     plots->add_option("results", from, "a file of results")->required();
     plots->add_option("--to", to, "the SVG")->required();
+    shell_options shell;
+    std::string file;
+    auto *const fleets =
+        app.add_subcommand("fleet", "stand-in servers and discovery on loopback, until it is ended");
+    fleets->add_option("file", file, "experiment file (TOML)")->required();
+    fleets->add_option("--first-server", shell.where.first_server, "port of server 0, the others' follow")
+        ->check(CLI::Range(0, 65000));
+    fleets
+        ->add_option("--first-list", shell.where.first_list,
+                     "port of discovery for proxy 0, the others' follow")
+        ->check(CLI::Range(0, 65000));
+    fleets->add_option("--configuration", shell.configuration, "a proxy's configuration is written here");
+    fleets->add_option("--listen", shell.listen, "... with this address")->default_val("127.0.0.1:9000");
+    fleets->add_flag("--faults", shell.scripted, "plays the file's faults");
+    fleets->add_flag("--chatty", shell.chatty, "a line for each thing that the servers see");
+    load_options load;
+    double rate = -1;
+    double length = 0, think = -1;
+    int closed = -1;
+    auto *const loads = app.add_subcommand("load", "sends a file's load to proxies, or straight to a server");
+    loads->add_option("file", file, "experiment file (TOML)")->required();
+    loads->add_option("--to", load.to, "addresses, as 127.0.0.1:9000")->required()->delimiter(',');
+    loads->add_option("--rate", rate, "queries a second, instead of the file's")->check(CLI::Range(0.0, 1e6));
+    loads->add_option("--closed", closed, "clients that ask again at once")->check(CLI::Range(0, 20000));
+    loads->add_option("--think", think, "s that these wait before")->check(CLI::Range(0.0, 60.0));
+    loads->add_option("--length", length, "s")->check(CLI::Range(0.1, 3600.0));
+    loads->add_option("--seed", load.seed, "of the load");
+    loads->add_option("--pid", load.pid, "whose CPU and memory are told");
+    loads->add_option("--idle", load.idle, "connections that rest meanwhile")->check(CLI::Range(0, 20000));
+    std::string by, configuration;
+    auto *const proxies = app.add_subcommand("proxy", "the proxy with a baseline in the place of its module");
+    proxies->add_option("--by", by, "module, random, least_of_two or plain_ring")->required();
+    proxies->add_option("configuration", configuration, "the proxy's")->required();
     try {
         app.parse(arguments, values);
     } catch (const CLI::ParseError &bad) {
         return app.exit(bad) == 0 ? well : unusable;
     }
     try {
+        std::error_code unknown;
+        how.sockets.self = std::filesystem::read_symlink("/proc/self/exe", unknown).string();
+        if (how.sockets.program.empty())
+            how.sockets.program = how.sockets.self.substr(0, how.sockets.self.rfind('/') + 1) + "harrierpass";
+        if (*fleets)
+            return serve_fleet(read_experiment(file), shell);
+        if (*proxies)
+            return be_proxy(by, configuration);
+        if (*loads) {
+            experiment given = read_experiment(file);
+            given.load.rate = rate >= 0 ? rate : given.load.rate;
+            given.load.closed = closed >= 0 ? static_cast<index>(closed) : given.load.closed;
+            given.load.think = think >= 0 ? think : given.load.think;
+            given.length = length > 0 ? length : given.length;
+            given.settle = 0;
+            return tell(run_load(given, load));
+        }
         if (*runs || *compares)
             return run(how, static_cast<bool>(*compares));
         std::vector<run_result> all;
--- /dev/null
+++ b/src/lab/process.cpp
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/process.hpp"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <spawn.h>
+#include <sstream>
+#include <sys/epoll.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <system_error>
+#include <thread>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace harrierpass::lab {
+
+std::optional<process_weight> weigh(pid_t pid) {
+    const std::string at = "/proc/" + std::to_string(pid);
+    std::ifstream stat(at + "/stat"), status(at + "/status");
+    std::string all;
+    if (!std::getline(stat, all))
+        return std::nullopt;
+    std::istringstream words(all.substr(all.rfind(')') + 2)); // the name may hold anything
+    std::string word;
+    process_weight made;
+    for (int i = 0; i < 13 && words >> word; ++i)
+        if (i == 11 || i == 12) // user and system time, in ticks
+            made.cpu += std::stod(word) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("VmRSS:"))
+            made.resident_kb = std::stoull(line.substr(6));
+    std::error_code failed;
+    for (auto each = std::filesystem::directory_iterator(at + "/fd", failed);
+         !failed && each != std::filesystem::directory_iterator(); each.increment(failed))
+        ++made.descriptors;
+    return made;
+}
+
+proxy_process::proxy_process(loop &in, std::vector<std::string> command, std::string log)
+    : loop_(in), command_(std::move(command)), log_(log, std::ios::app) {}
+
+proxy_process::~proxy_process() {
+    kill();
+}
+
+void proxy_process::start() {
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0)
+        throw std::system_error(errno, std::generic_category(), "no pipe");
+    errors_ = tcp_socket(ends[0]);
+    const tcp_socket theirs(ends[1]);
+    fcntl(ends[0], F_SETFL, O_NONBLOCK);
+    posix_spawn_file_actions_t files;
+    posix_spawn_file_actions_init(&files);
+    posix_spawn_file_actions_adddup2(&files, theirs.get(), 2);
+    std::vector<char *> arguments;
+    for (const auto &each : command_)
+        arguments.push_back(const_cast<char *>(each.c_str()));
+    arguments.push_back(nullptr);
+    const int failed = posix_spawn(&pid_, arguments[0], &files, nullptr, arguments.data(), environ);
+    posix_spawn_file_actions_destroy(&files);
+    if (failed != 0) {
+        pid_ = 0;
+        throw std::system_error(failed, std::generic_category(), "cannot start " + command_[0]);
+    }
+    loop_.watch(errors_.get(), EPOLLIN, [this](std::uint32_t) { read(); });
+}
+
+void proxy_process::read() {
+    std::array<char, 4096> part{};
+    for (;;) {
+        const auto got = ::read(errors_.get(), part.data(), part.size());
+        if (got < 0)
+            return;
+        if (got == 0)
+            break;
+        log_.write(part.data(), got);
+        line_.append(part.data(), static_cast<std::size_t>(got));
+        for (std::size_t end; (end = line_.find('\n')) != std::string::npos; line_.erase(0, end + 1)) {
+            const std::string line = line_.substr(0, end);
+            const auto at = line.find(" listen=");
+            if (line.find("started name=") == std::string::npos || at == std::string::npos)
+                continue;
+            const auto text = line.substr(at + 8, line.find(' ', at + 8) - at - 8);
+            if (const auto where = parse_address(text); where && on_listening)
+                on_listening(*where);
+        }
+    }
+    reap();
+    if (on_exit)
+        on_exit();
+}
+
+void proxy_process::reap() {
+    if (errors_) {
+        loop_.forget(errors_.get());
+        errors_.close();
+    }
+    log_.flush();
+    line_.clear();
+    if (pid_ <= 0)
+        return;
+    rusage used{};
+    int status = 0;
+    ::wait4(pid_, &status, 0, &used);
+    pid_ = 0;
+    const auto seconds = [](const timeval &of) {
+        return static_cast<double>(of.tv_sec) + static_cast<double>(of.tv_usec) * 1e-6;
+    };
+    cpu_ += seconds(used.ru_utime) + seconds(used.ru_stime);
+}
+
+void proxy_process::signal(int which) {
+    if (runs())
+        ::kill(pid_, which);
+}
+
+void proxy_process::kill() {
+    signal(SIGKILL);
+    reap();
+}
+
+bool proxy_process::wait(double seconds) {
+    // Its log may be more than a pipe holds.
+    const double end = loop_.clock.now() + seconds;
+    loop_.run([&] { return !runs() || loop_.clock.now() > end; });
+    return !runs();
+}
+
+} // namespace harrierpass::lab
--- /dev/null
+++ b/src/lab/process.hpp
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+// A proxy under test as a process of its own: started, watched by its log, signalled, and weighed.
+#pragma once
+
+#include "lab/loop.hpp"
+#include "net/sockets.hpp"
+
+#include <fstream>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace harrierpass::lab {
+
+struct process_weight {
+    double cpu = 0;                // s of CPU since its start
+    std::uint64_t resident_kb = 0; // now
+    std::uint64_t descriptors = 0;
+};
+
+// Of any process of this user's; empty where it is gone.
+std::optional<process_weight> weigh(pid_t pid);
+
+class proxy_process {
+public:
+    // `command`: program and arguments. What it writes to standard error goes to `log`.
+    proxy_process(loop &in, std::vector<std::string> command, std::string log);
+    ~proxy_process(); // ends it
+    proxy_process(const proxy_process &) = delete;
+    proxy_process &operator=(const proxy_process &) = delete;
+
+    void start();
+    void signal(int which);
+    void kill();               // outright, and waits for its end
+    bool wait(double seconds); // for its own end; false: it goes on
+    bool runs() const { return pid_ > 0; }
+    pid_t pid() const { return pid_; }
+    double cpu() const { return cpu_; } // s, of all its ended processes
+
+    std::function<void(const address &)> on_listening; // it says where
+    std::function<void()> on_exit;                     // by itself
+
+private:
+    void read();
+    void reap();
+
+    loop &loop_;
+    const std::vector<std::string> command_;
+    std::ofstream log_;
+    std::string line_;
+    tcp_socket errors_; // the reading end of its standard error
+    pid_t pid_ = 0;
+    double cpu_ = 0;
+};
+
+} // namespace harrierpass::lab
--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -4,8 +4,10 @@
 #include <algorithm>
 #include <bit>
 #include <iomanip>
+#include <limits>
 #include <numeric>
 #include <sstream>
+#include <utility>
 
 namespace harrierpass::lab {
 namespace {
@@ -108,6 +110,24 @@
     }
 }
 
+void referee::untaken(operation op, index attempt) {
+    if (record *const of = find(op))
+        if (open_try *const one = find(*of, attempt))
+            one->excused = true;
+}
+
+void referee::meet(operation op, index attempt, index use_case) {
+    record *const known = find(op);
+    if (!strangers || (known != nullptr && find(*known, attempt) != nullptr))
+        return;
+    forget();
+    auto &of = records_[op];
+    of.use_case = use_case;
+    of.tries.push_back({attempt, 0, 0, std::numeric_limits<double>::infinity(), clock_.now()});
+    if (!std::exchange(of.settled, true))
+        settled_.emplace_back(clock_.now(), op);
+}
+
 void referee::received(operation op, index attempt, index server, double sent) {
     ++executions_;
     record *const of = find(op);
--- a/src/lab/referee.hpp
+++ b/src/lab/referee.hpp
@@ -55,8 +55,11 @@
     void unanswered(operation op,
                     index attempt); // its end has come, or its connection ended, without an answer
     void settled(operation op);     // no further try
+    // Its proxy never had it, as for want of a connection: nothing is owed.
+    void untaken(operation op, index attempt);
 
-    // The servers. `from`: the proxy it was sent by; `sent`: when, s.
+    // The servers. `sent`: when, s.
+    void meet(operation op, index attempt, index use_case); // where strangers' queries may come
     void received(operation op, index attempt, index server, double sent);
     void over(operation op, index attempt, index server); // answered, or its connection ended
     void ran(operation op, index attempt, index server);  // its effect took place
@@ -74,6 +77,7 @@
     std::uint64_t effects() const { return effects_; }
     std::size_t records() const { return records_.size(); }
     std::uint64_t trace_hash() const { return hash_; } // of all that was seen, in its order
+    bool strangers = false;                            // queries may come that none of our clients asked
     std::ostream *trace = nullptr;                     // where each thing seen is written, a line each
 
 private:
--- /dev/null
+++ b/src/lab/socket_run.cpp
@@ -0,0 +1,324 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/socket_run.hpp"
+
+#include "lab/client_port.hpp"
+#include "lab/deciders.hpp"
+#include "lab/fleet_ports.hpp"
+#include "lab/process.hpp"
+#include "net/threads.hpp"
+#include "proxy/service.hpp"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sys/resource.h>
+
+namespace harrierpass::lab {
+namespace {
+
+constexpr double slack = 0.05;       // s by which the clocks of processes and their reports may differ
+constexpr double ready_limit = 10;   // s for a proxy to be ready
+constexpr double look_again = 0.02;  // s between looks whether it is
+constexpr double wind_down = 30;     // s after the load for the last queries, at most
+constexpr double end_limit = 6;      // s for a planned end
+constexpr double late_share = 0.1;   // of the shortest SLO time; a generator later than this measures itself
+constexpr double least_late = 0.005; // s; or than this
+
+// One proxy of a run, whichever way it is there.
+struct proxy_here {
+    std::unique_ptr<proxy_process> process;
+    std::unique_ptr<std::ofstream> log;
+    std::unique_ptr<proxy::service> service;
+    std::optional<address> at;
+    index killed = 0, stopped = 0;
+    bool ready = false, ends = false;
+};
+
+class whole_run {
+public:
+    whole_run(const experiment &given, const variant_spec &as, std::uint32_t seed, const socket_options &how)
+        : given_(given), as_(as), how_(how), all_(loop_.clock, given, seed, slack), fleet_(loop_, all_),
+          port_(loop_, given, all_.people, all_.judge, given.proxies.count), seeds_(seed + 3) {
+        folder_ = how.logs;
+        if (folder_.empty()) {
+            std::string name = (std::filesystem::temp_directory_path() / "harrierlab-XXXXXX").string();
+            if (::mkdtemp(name.data()) == nullptr)
+                throw std::system_error(errno, std::generic_category(), "no temporary folder");
+            folder_ = name;
+            temporary_ = true;
+        }
+        std::filesystem::create_directories(folder_);
+    }
+    ~whole_run() {
+        proxies_.clear();
+        std::error_code failed;
+        if (temporary_)
+            std::filesystem::remove_all(folder_, failed);
+    }
+
+    run_result run() {
+        const double began = steady_now();
+        all_.on_proxy_kill = [this](index proxy, bool begins) { kill(proxy, begins); };
+        all_.on_proxy_pause = [this](index proxy, bool begins) { pause(proxy, begins); };
+        proxies_.resize(given_.proxies.count);
+        for (index i = 0; i < proxies_.size(); ++i)
+            start(i, "127.0.0.1:0");
+        const double limit = loop_.clock.now() + ready_limit;
+        loop_.run([&] { return all_ready() || loop_.clock.now() > limit; });
+        if (!all_ready())
+            throw bad_experiment("a proxy was not ready in time; see its log with --logs");
+        all_.start();
+        const double end = loop_.clock.now() + given_.length + wind_down;
+        double told = loop_.clock.now();
+        loop_.run([&] {
+            if (how_.progress != nullptr && loop_.clock.now() - told > 5) {
+                told = loop_.clock.now();
+                *how_.progress << "  " << given_.name << ' ' << as_.name << ": "
+                               << static_cast<int>(told - all_.people.began()) << " of " << given_.length
+                               << " s, " << all_.people.operations() << " queries" << std::endl;
+            }
+            return all_.done() || loop_.clock.now() > end;
+        });
+        run_result made = all_.result(as_, "sockets");
+        if (!all_.done())
+            made.void_because = "queries were still open long after the load";
+        double cpu = 0;
+        std::uint64_t resident = 0;
+        for (auto &each : proxies_) {
+            each.ends = true;
+            if (!each.process)
+                continue;
+            if (const auto weight = weigh(each.process->pid()))
+                resident = std::max(resident, weight->resident_kb);
+            each.process->signal(SIGCONT);
+            each.process->signal(SIGTERM);
+            if (!each.process->wait(end_limit))
+                ++crashes_;
+            each.process->kill();
+            cpu += each.process->cpu();
+        }
+        made.rules.emplace_back("crashed", crashes_);
+        const auto count = std::max<std::uint64_t>(1, made.queries);
+        made.proxies = {
+            {"cpu_ns_a_query", static_cast<std::uint64_t>(cpu * 1e9 / static_cast<double>(count))},
+            {"resident_kb", resident},
+            {"client_dials", port_.dials()}};
+        made.wall = steady_now() - began;
+        judge_lateness(made, given_);
+        return made;
+    }
+
+    static void judge_lateness(run_result &of, const experiment &given) {
+        double shortest = 1e9;
+        for (const auto &each : given.use_cases)
+            shortest = std::min(shortest, each.decides.slo_time);
+        const double most = std::max(least_late, late_share * shortest);
+        const bool pauses = std::any_of(given.faults.begin(), given.faults.end(), [](const fault_spec &each) {
+            return each.kind == fault_kind::client_pause; // late on purpose
+        });
+        if (!pauses && of.lateness_p99 > most)
+            of.void_because = "the machine was too slow: the load generator was late by " +
+                              std::to_string(of.lateness_p99 * 1000) + " ms in its slowest hundredth";
+    }
+
+private:
+    bool all_ready() const {
+        return std::all_of(proxies_.begin(), proxies_.end(),
+                           [](const proxy_here &each) { return each.ready; });
+    }
+
+    void start(index number, const std::string &listen) {
+        auto &here = proxies_[number];
+        here.ready = false;
+        const std::string path = folder_ + "/p" + std::to_string(number);
+        std::ofstream(path + ".json") << fleet_.configuration(number, listen, seeds_.seed());
+        if (how_.embeds) {
+            std::ifstream in(path + ".json");
+            std::ostringstream text;
+            text << in.rdbuf();
+            here.log = std::make_unique<std::ofstream>(path + ".log", std::ios::app);
+            here.service = std::make_unique<proxy::service>(proxy::read_configuration(text.str()), *here.log,
+                                                            level::warning, maker_of(as_.by));
+            here.at = here.service->at();
+            return look(number);
+        }
+        if (!here.process) {
+            std::vector<std::string> command = {how_.program, path + ".json"};
+            if (as_.by != decider::module)
+                command = {how_.self, "proxy", "--by", name_of(as_.by), path + ".json"};
+            here.process = std::make_unique<proxy_process>(loop_, command, path + ".log");
+            here.process->on_listening = [this, number](const address &at) {
+                proxies_[number].at = at;
+                look(number);
+            };
+            here.process->on_exit = [this, number] {
+                if (proxies_[number].ends)
+                    return;
+                ++crashes_; // by itself
+                all_.judge.restarted(number);
+                port_.place(number, std::nullopt);
+            };
+        }
+        here.process->start();
+    }
+
+    // Asks whether it is ready until it says so.
+    void look(index number) {
+        auto &here = proxies_[number];
+        if (!here.at || here.killed > 0)
+            return;
+        const auto on = std::make_shared<channel>(loop_, dial_soon(*here.at), http_reader::side::answer);
+        looks_[number] = on;
+        if (!on->open())
+            return;
+        on->on_message = [this, number](const auto &from, const http_reader &answer) {
+            const bool ready = answer.head().status == 200;
+            from->end(false);
+            looked(number, ready);
+        };
+        on->on_end = [this, number](const auto &, channel::ending) { looked(number, false); };
+        on->start(true);
+        on->send("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n");
+    }
+    void looked(index number, bool ready) {
+        auto &here = proxies_[number];
+        if (here.killed > 0 || here.ready)
+            return;
+        if (!ready)
+            return loop_.clock.after(look_again, [this, number] { look(number); });
+        here.ready = true;
+        port_.place(number, here.at);
+    }
+
+    void kill(index number, bool begins) {
+        auto &here = proxies_[number];
+        if (!here.process)
+            throw bad_experiment("an embedded proxy cannot be killed: leave --embed out");
+        if (begins && here.killed++ == 0) {
+            all_.judge.restarted(number);
+            here.process->kill();
+            port_.place(number, std::nullopt);
+        } else if (!begins && --here.killed == 0) {
+            start(number, to_text(*here.at));
+        }
+    }
+
+    void pause(index number, bool begins) {
+        auto &here = proxies_[number];
+        if (!here.process)
+            throw bad_experiment("an embedded proxy cannot be stopped: leave --embed out");
+        all_.judge.paused(number, begins);
+        here.stopped += begins ? 1 : static_cast<index>(-1);
+        here.process->signal(here.stopped > 0 ? SIGSTOP : SIGCONT);
+    }
+
+    const experiment &given_;
+    const variant_spec &as_;
+    const socket_options &how_;
+    loop loop_;
+    stage all_;
+    fleet_ports fleet_;
+    client_port port_;
+    chance seeds_;
+    std::string folder_;
+    bool temporary_ = false;
+    std::uint64_t crashes_ = 0;
+    std::unordered_map<index, std::shared_ptr<channel>> looks_;
+    std::vector<proxy_here> proxies_;
+};
+
+double own_cpu() {
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    return static_cast<double>(used.ru_utime.tv_sec + used.ru_stime.tv_sec) +
+           static_cast<double>(used.ru_utime.tv_usec + used.ru_stime.tv_usec) * 1e-6;
+}
+
+} // namespace
+
+run_result run_on_sockets(const experiment &given, const variant_spec &as, std::uint32_t seed,
+                          const socket_options &how) {
+    if (as.breaks != plant::nothing)
+        throw bad_experiment(given.name + ": planted faults are for virtual time only");
+    return whole_run(given, as, seed, how).run();
+}
+
+load_result run_load(const experiment &given, const load_options &how) {
+    experiment asked = given;
+    asked.proxies.count = static_cast<index>(how.to.size());
+    asked.faults.clear();
+    loop in;
+    referee judge(in.clock, asked, slack);
+    clients people(in.clock, asked, judge, how.seed);
+    client_port port(in, asked, people, judge, asked.proxies.count);
+    std::vector<std::shared_ptr<channel>> resting;
+    for (index i = 0; i < how.to.size(); ++i) {
+        const auto at = parse_address(how.to[i]);
+        if (!at)
+            throw bad_experiment(how.to[i] + " is no address such as 127.0.0.1:9000");
+        port.place(i, at);
+        std::size_t heard = 0;
+        for (index j = 0; j < how.idle; ++j) {
+            const auto on = std::make_shared<channel>(in, dial_soon(*at), http_reader::side::answer);
+            if (!on->open())
+                throw bad_experiment("no descriptors for so many connections at rest");
+            on->on_message = [&heard](const auto &, const http_reader &) { ++heard; };
+            on->on_end = [&heard](const auto &, channel::ending) { ++heard; };
+            on->start(true);
+            on->send("GET /" + given.use_cases[0].name + "/1 HTTP/1.1\r\nHost: lab\r\nX-Request-Id: rest-" +
+                     std::to_string(i) + "-" + std::to_string(j) + "\r\n\r\n");
+            resting.push_back(on);
+        }
+        const double limit = in.clock.now() + 10;
+        in.run([&] { return heard >= how.idle || in.clock.now() > limit; });
+    }
+    const auto before = how.pid > 0 ? weigh(how.pid) : std::nullopt;
+    const double cpu = own_cpu(), began = steady_now();
+    people.start();
+    std::optional<process_weight> after;
+    const double end = in.clock.now() + asked.length + wind_down;
+    in.run([&] {
+        if (people.over() && !after && how.pid > 0)
+            after = weigh(how.pid);
+        return people.idle() || in.clock.now() > end;
+    });
+    load_result made;
+    const double took = std::min(asked.length, steady_now() - began);
+    const slot all = people.total();
+    auto &run = made.run;
+    run.experiment = given.name;
+    run.variant = "load";
+    run.mode = "load";
+    run.seed = how.seed;
+    run.length = asked.length;
+    run.queries = all.queries;
+    run.completed = all.completed;
+    run.rejected = all.rejected;
+    run.aborted = all.aborted;
+    run.none = all.none;
+    run.late = all.late;
+    run.service = all.asked > 0 ? all.served / all.asked : 0;
+    run.p50 = all.times.percentile(50);
+    run.p90 = all.times.percentile(90);
+    run.p99 = all.times.percentile(99);
+    run.p999 = all.times.percentile(99.9);
+    run.lateness_p99 = people.lateness().percentile(99);
+    run.lateness_most = people.lateness().most();
+    run.wall = steady_now() - began;
+    for (const rule each : {rule::lost, rule::answered_twice, rule::wrong_body})
+        run.rules.emplace_back(name_of(each), judge.broken(each));
+    run.stories = judge.stories();
+    whole_run::judge_lateness(run, asked);
+    const auto count = static_cast<double>(std::max<std::uint64_t>(1, all.queries));
+    made.rate = static_cast<double>(all.completed) / took;
+    made.own_cpu_us = (own_cpu() - cpu) * 1e6 / count;
+    if (before && after) {
+        made.cpu_us = (after->cpu - before->cpu) * 1e6 / count;
+        made.resident_kb = after->resident_kb;
+        made.descriptors = after->descriptors;
+    }
+    return made;
+}
+
+} // namespace harrierpass::lab
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -30,14 +30,18 @@
 }
 
 void stage::start() {
+    start_faults();
+    people.start();
+    sample();
+}
+
+void stage::start_faults() {
     for (const auto &each : given.faults) {
-        clock.after(each.at, [this, &each] { set(each, true); });
+        clock.after(each.at, [this, &each] { apply(each, true); });
         const bool ends = each.lasts > 0;
         if (ends && each.kind != fault_kind::drain && each.kind != fault_kind::join)
-            clock.after(each.at + each.lasts, [this, &each] { set(each, false); });
+            clock.after(each.at + each.lasts, [this, &each] { apply(each, false); });
     }
-    people.start();
-    sample();
 }
 
 void stage::sample() {
@@ -56,7 +60,7 @@
     clock.after(people.slot_length() / samples_a_slot, [this] { sample(); });
 }
 
-void stage::set(const fault_spec &fault, bool begins) {
+void stage::apply(const fault_spec &fault, bool begins) {
     for (const index each : fault.servers)
         set_server(fault, each, begins);
     switch (fault.kind) {
--- a/src/lab/stage.hpp
+++ b/src/lab/stage.hpp
@@ -42,6 +42,8 @@
     stage(timeline &clock, const experiment &given, std::uint32_t seed, double slack);
 
     void start(); // load and faults, from now on
+    void start_faults();
+    void apply(const fault_spec &fault, bool begins); // one of them
     bool done() const { return people.idle(); }
 
     // The link's part of a fault. All may be left empty.
@@ -58,8 +60,6 @@
     clients people;
 
 private:
-    void begin(const fault_spec &fault);
-    void set(const fault_spec &fault, bool begins);
     void set_server(const fault_spec &fault, index server, bool begins);
     void flap(const fault_spec &fault, index server, double until);
     void notice(index server);
