--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -175,6 +175,7 @@
     std::vector<std::string> experiments;
     std::map<std::string, std::vector<std::string>> variants; // in the order in which they came
     std::map<std::tuple<std::string, std::string, std::uint32_t>, double> service;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> rules;
     for (const auto &each : runs) {
         if (!each.void_because.empty())
             continue;
@@ -184,6 +185,7 @@
         if (std::find(known.begin(), known.end(), each.variant) == known.end())
             known.push_back(each.variant);
         service[{each.experiment, each.variant, each.seed}] = each.service;
+        rules[{each.experiment, each.variant}] += each.broken();
     }
     std::vector<comparison> all;
     for (const auto &name : experiments)
@@ -201,6 +203,8 @@
                 differences.push_back(pair->second - value);
             }
             made.pairs = differences.size();
+            made.base_broken = rules[{name, made.base}];
+            made.other_broken = rules[{name, made.other}];
             made.base_median = median(base);
             made.other_median = median(other);
             made.base_spread = spread(base);
@@ -223,8 +227,9 @@
     std::ostringstream text;
     text << std::fixed << std::setprecision(3);
     text << "| experiment | variant | seeds | median | spread | against | median | spread | difference | "
-            "verdict |\n"
-         << "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+            "verdict | "
+            "rules broken |\n"
+         << "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
     for (const auto &each : all)
         text << "| " << each.experiment << " | " << each.other << " | " << each.pairs << " | "
              << each.other_median << " | " << each.other_spread << " | " << each.base << " | "
@@ -234,7 +239,7 @@
                  : !each.differs()     ? "within the noise"
                  : each.difference > 0 ? "better"
                                        : "worse")
-             << " |\n";
+             << " | " << each.other_broken << ", " << each.base_broken << " |\n";
     to << text.str() << std::flush;
 }
 
--- a/src/lab/report.hpp
+++ b/src/lab/report.hpp
@@ -26,9 +26,10 @@
 struct comparison {
     std::string experiment, base, other;
     std::size_t pairs = 0;
-    double base_median = 0, other_median = 0; // of service
-    double base_spread = 0, other_spread = 0; // largest less smallest
-    double difference = 0, noise = 0;         // mean of the pairs'; half of its 95% interval
+    std::uint64_t base_broken = 0, other_broken = 0; // rules, over the pairs
+    double base_median = 0, other_median = 0;        // of service
+    double base_spread = 0, other_spread = 0;        // largest less smallest
+    double difference = 0, noise = 0;                // mean of the pairs'; half of its 95% interval
     bool differs() const { return pairs >= 2 && std::fabs(difference) > noise; }
 };
 std::vector<comparison> compare(const std::vector<run_result> &runs);
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -417,6 +417,11 @@
     return server_or_proxy % static_cast<index>(given.fleet.zones.size());
 }
 
+index group_of(const experiment &given, index use_case, index server) {
+    const auto group = given.use_cases[use_case].decides.group;
+    return group == repeat_group::all ? 0 : group == repeat_group::zone ? zone_of(given, server) : server;
+}
+
 settings settings_for(const experiment &given, index proxy) {
     settings made;
     for (const auto &each : given.use_cases)
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -168,6 +168,9 @@
 // What each proxy of it is told; `proxy` is its number.
 settings settings_for(const experiment &given, index proxy);
 index zone_of(const experiment &given, index server_or_proxy);
+// The servers that drop one another's repeats of this use case have the same. A cell here is one server; the
+// origin, in aside mode, is a server of its own in every grouping but `all`.
+index group_of(const experiment &given, index use_case, index server);
 
 const char *name_of(fault_kind kind);
 const char *name_of(decider by);
