--- a/src/lab/referee.cpp
+++ b/src/lab/referee.cpp
@@ -75,6 +75,8 @@
     open_try *const one = of != nullptr ? find(*of, attempt) : nullptr;
     if (one == nullptr)
         return blame(rule::answered_twice, op, "an answer for a query that nobody asked");
+    if (one->gone) // the client has closed its connection: nothing reaches it any more
+        return;
     note(*of, op,
          how == reply::completed  ? what::completed
          : how == reply::rejected ? what::rejected
@@ -97,7 +99,7 @@
     if (one == nullptr || one->answered)
         return;
     note(*of, op, what::unanswered, attempt, one->proxy);
-    one->answered = true;
+    one->answered = one->gone = true;
     const bool stood =
         place(paused_, one->proxy) > 0 || place(paused_until_, one->proxy) + catch_up > one->end;
     if (!one->excused && !stood)
--- a/src/lab/referee.hpp
+++ b/src/lab/referee.hpp
@@ -103,7 +103,7 @@
     struct open_try {
         index attempt, proxy, out = 0;
         double end, asked;
-        bool answered = false, excused = false;
+        bool answered = false, excused = false, gone = false; // gone: its client left before an answer
     };
     struct run_of { // one execution
         index attempt, server;
--- a/src/lab/servers.cpp
+++ b/src/lab/servers.cpp
@@ -257,6 +257,14 @@
     }
 }
 
+void cache_server::set_trouble(bool begins) {
+    troubles_open_ += begins ? 1 : static_cast<index>(-1);
+    if (troubles_open_ == 0)
+        troubled_since_ = 0;
+    else if (troubled_since_ == 0)
+        troubled_since_ = of_.clock.now();
+}
+
 void cache_server::hang(bool begins) {
     hung_ += begins ? 1 : static_cast<index>(-1);
     cores_.stand(hung_ + vanished_ > 0);
--- a/src/lab/servers.hpp
+++ b/src/lab/servers.hpp
@@ -108,6 +108,9 @@
     bool stands() const { return hung_ > 0; }
     bool deaf() const { return one_way_ > 0; } // its answers are lost
     bool answers_probes() const { return up() && !silent() && !stands() && !deaf(); }
+    // Since when it is in trouble that a proxy should find out by itself, s; 0: it is not.
+    double troubled_since() const { return troubled_since_; }
+    void set_trouble(bool begins);
     double started() const { return started_; }
     double warmth() const;
     std::size_t in_hand() const { return cores_.busy() + cores_.waiting(); }
@@ -137,6 +140,8 @@
     };
     std::vector<trouble> troubles_;
     double started_ = 0; // 0: long ago
+    double troubled_since_ = 0;
+    index troubles_open_ = 0;
     std::uint64_t life_ = 0;
     std::deque<std::pair<double, double>> sent_; // while cold: when and how much work
     std::list<std::uint64_t> store_;             // the latest used first
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -243,6 +243,9 @@
         from.refuse(nullptr, "a fault needs kind and at");
     from.seconds("at", made.at, 0, most_length);
     from.seconds("for", made.lasts, 0, most_length);
+    from.seconds("every", made.every, 0, most_length);
+    if (made.every > 0 && (made.lasts <= 0 || made.every < made.lasts))
+        from.refuse_key("every", "needs a shorter `for`");
     from.number("factor", made.factor, 0, 10000);
     from.counts("servers", made.servers, most_servers);
     from.counts("proxies", made.proxies, to.proxies.count);
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -119,6 +119,7 @@
 struct fault_spec {
     fault_kind kind = fault_kind::crash;
     double at = 0, lasts = 0;   // s
+    double every = 0;           // s from one beginning to the next; 0: once
     std::vector<index> servers; // numbers, also of those that join
     std::vector<index> proxies; // numbers
     index use_case = none, tenant = none;
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr double flap_period = 0.5;       // s that a flapping list names a server, and leaves it out
+constexpr double least_trouble = 0.25;    // s; a shorter silence is a pause, and who suspects it is wrong
 constexpr double samples_a_slot = 4;      // looks at what servers have in hand
 constexpr std::size_t most_servers = 400; // of which a run keeps what they had in hand
 
@@ -37,10 +38,14 @@
 
 void stage::start_faults() {
     for (const auto &each : given.faults) {
-        clock.after(each.at, [this, &each] { apply(each, true); });
-        const bool ends = each.lasts > 0;
-        if (ends && each.kind != fault_kind::drain && each.kind != fault_kind::join)
-            clock.after(each.at + each.lasts, [this, &each] { apply(each, false); });
+        const bool ends = each.lasts > 0 && each.kind != fault_kind::drain && each.kind != fault_kind::join;
+        for (double at = each.at; at < given.length; at += each.every) {
+            clock.after(at, [this, &each] { apply(each, true); });
+            if (ends)
+                clock.after(at + each.lasts, [this, &each] { apply(each, false); });
+            if (each.every <= 0)
+                break;
+        }
     }
 }
 
@@ -90,6 +95,10 @@
 
 void stage::set_server(const fault_spec &fault, index server, bool begins) {
     auto &of = servers.at(server);
+    const bool silences = fault.kind == fault_kind::crash || fault.kind == fault_kind::hang ||
+                          fault.kind == fault_kind::vanish || fault.kind == fault_kind::one_way;
+    if (silences && (fault.lasts <= 0 || fault.lasts >= least_trouble))
+        of.set_trouble(begins);
     switch (fault.kind) {
     case fault_kind::crash:
     case fault_kind::join:
--- a/src/lab/virtual_proxy.cpp
+++ b/src/lab/virtual_proxy.cpp
@@ -31,8 +31,10 @@
     full += that.full;
     probes += that.probes;
     probes_failed += that.probes_failed;
-    suspicions += that.suspicions;
-    false_suspicions += that.false_suspicions;
+    false_called_off += that.false_called_off;
+    false_probes += that.false_probes;
+    found += that.found;
+    found_after.add(that.found_after);
 }
 
 virtual_proxy::virtual_proxy(timeline &clock, const experiment &given, const variant_spec &as, index number,
@@ -178,8 +180,7 @@
         case action_kind::cancel:
             if (auto &of = held_[act.query]; of.out_at != none && of.sent == act.execution + 1) {
                 ++counts_.called_off;
-                ++counts_.suspicions;
-                counts_.false_suspicions += healthy(of.out_at);
+                counts_.false_called_off += suspects(of.out_at);
                 const index number = act.execution;
                 const auto serial = of.serial;
                 clock_.after(0, [this, life = life_, query = act.query, number, serial] {
@@ -385,13 +386,22 @@
         on_answer(of.is, how, come_back, fits);
 }
 
-// Whether suspicion of a server has nothing to stand on.
-bool virtual_proxy::healthy(index server) {
-    return server >= servers_.size() || servers_.at(server).answers_probes();
+bool virtual_proxy::suspects(index server) {
+    if (server >= servers_.size())
+        return true;
+    const double since = servers_.at(server).troubled_since();
+    found_.resize(servers_.size());
+    if (since > 0 && found_[server] != since) {
+        found_[server] = since;
+        ++counts_.found;
+        counts_.found_after.add(clock_.now() - since);
+    }
+    return since <= 0;
 }
 
 void virtual_proxy::probe(index server) {
     ++counts_.probes;
+    counts_.false_probes += suspects(server);
     const auto over = [this, life = life_, server](bool answered) {
         if (life != life_)
             return;
--- a/src/lab/virtual_proxy.hpp
+++ b/src/lab/virtual_proxy.hpp
@@ -15,7 +15,8 @@
 struct proxy_counts {
     std::uint64_t sent = 0, completed = 0, rejected = 0, aborted = 0, called_off = 0, timed_out = 0,
                   resets = 0, connect_errors = 0, errors = 0, full = 0, probes = 0, probes_failed = 0,
-                  suspicions = 0, false_suspicions = 0;
+                  false_called_off = 0, false_probes = 0, found = 0;
+    histogram found_after; // s from a server's trouble to this proxy's first suspicion of it
     void add(const proxy_counts &that);
 };
 
@@ -64,7 +65,7 @@
     void release(index query);
     double way(index server) const;
     bool planted(plant which, index every);
-    bool healthy(index server);
+    bool suspects(index server); // true: for no good reason
 
     timeline &clock_;
     const experiment &given_;
@@ -83,6 +84,7 @@
     index pauses_ = 0;
     std::vector<std::function<void()>> late_;
     std::vector<std::string> ids_;
+    std::vector<double> found_; // by server: the trouble that was found last, by its time
     std::uint64_t plants_ = 0;
     proxy_counts counts_;
 };
--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -73,8 +73,9 @@
     index points = 0, laid = 0, active = 0; // points of its own; those on the ring; those in use now
     index in_flight = 0;
     limit lim;
-    double bad = 0;                 // mean share of broken executions
-    double quiet = 0, quiet_at = 0; // execution-seconds without a sign of life, and up to when
+    double bad = 0;               // mean share of broken executions
+    double quiet = 0, silent = 0; // execution-seconds without a sign of life, and seconds of it
+    double quiet_at = 0;          // up to when
     double cold_since = 0, full_until = 0;
     double condemned_at = 0, trial_at = 0, gap = 0;
 };
@@ -134,6 +135,7 @@
     limit all_;                              // on executions at all of them
     double room_ = 0;                        // what it comes to
     double mean_answer_ = 0;                 // s
+    double least_silent_ = 0;                // s
     bool mass_doubt_ = false;                // so many are suspect that suspicion is not to be trusted
 
     double call_at_ = 0, call_gap_ = 0; // when the list is asked for next; s between calls
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -42,16 +42,18 @@
 constexpr double trust_memory = 1;     // s; the origin is all there is, so a cut is soon tried again
 constexpr double news_memory = 4;      // s; what a server did before then says little of its load now
 constexpr double quiet_limit = 12;     // mean answer times of silence; rare by chance even where work varies
-constexpr double bad_weight = 0.21;    // of a broken execution in the mean; three in a row condemn
-constexpr double error_weight = 0.2;   // of an error answer, maybe the query's own fault; four condemn
-constexpr double bad_limit = 0.5;      // share of broken executions; over it a server is worse than none
-constexpr double trial_gap = 0.5;      // s to the first trial of a suspect server
-constexpr double most_trial_gap = 4;   // s; a dead server costs one trial in this time
-constexpr double repeat_share = 0.2;   // repeats earned by a query; further work stays a fifth of all
-constexpr double repeat_burst = 10;    // repeats saved up; enough for what one dying server held
-constexpr double hold_share = 0.25;    // of the SLO time, and of its client's, that a query may wait for room
-constexpr double excess_room = 4;  // times their worth; so much of the room may queries beyond shares fill
-constexpr double tenant_burst = 8; // queries; a proxy's small part of a share comes unevenly
+constexpr double silent_share =
+    0.2; // of the shortest SLO time; a pause of a process or a lost packet is no silence
+constexpr double bad_weight = 0.21;  // of a broken execution in the mean; three in a row condemn
+constexpr double error_weight = 0.2; // of an error answer, maybe the query's own fault; four condemn
+constexpr double bad_limit = 0.5;    // share of broken executions; over it a server is worse than none
+constexpr double trial_gap = 0.5;    // s to the first trial of a suspect server
+constexpr double most_trial_gap = 4; // s; a dead server costs one trial in this time
+constexpr double repeat_share = 0.2; // repeats earned by a query; further work stays a fifth of all
+constexpr double repeat_burst = 10;  // repeats saved up; enough for what one dying server held
+constexpr double hold_share = 0.25;  // of the SLO time, and of its client's, that a query may wait for room
+constexpr double excess_room = 4;    // times their worth; so much of the room may queries beyond shares fill
+constexpr double tenant_burst = 8;   // queries; a proxy's small part of a share comes unevenly
 constexpr std::size_t drain_batch = 16; // held queries looked at for one freed place; bounds the CPU
 constexpr double first_call_gap = 0.5;  // s between calls for the list after a lost one, doubling
 constexpr double most_call_gap = 8;     // s; the list service is never loaded by waiting proxies
@@ -59,7 +61,9 @@
 class core final : public router, private memory {
 public:
     core(const settings &given, std::uint32_t seed, double now) : memory(given, seed, now) {
-        mean_answer_ = std::ranges::min(use_cases_, {}, &use_case::slo_time).slo_time * slow_share / 2;
+        const double shortest = std::ranges::min(use_cases_, {}, &use_case::slo_time).slo_time;
+        mean_answer_ = shortest * slow_share / 2;
+        least_silent_ = shortest * silent_share;
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
             tenants_.push_back({quota / given.peers, std::max(tenant_burst, quota / given.peers), now});
@@ -411,7 +415,8 @@
         took(srv);
         const double elapsed = now - run.sent, share = elapsed / use_cases_[qry.use_case].slo_time;
         const bool answered = is_answer(result);
-        srv.quiet = answered ? 0 : srv.quiet;
+        if (answered)
+            srv.quiet = srv.silent = 0;
         const bool broken = result == outcome::reset || result == outcome::connect_error;
         srv.broke = srv.broke || broken;
         const double worse = broken ? bad_weight : result == outcome::error ? error_weight : 0;
@@ -516,7 +521,7 @@
 
     sign restore(index id) {
         auto &srv = servers_[id];
-        srv.bad = srv.quiet = 0;
+        srv.bad = srv.quiet = srv.silent = 0;
         srv.broke = srv.died = false;
         return sign::nothing;
     }
@@ -593,7 +598,8 @@
         for (const index id : on_ring_) {
             auto &srv = servers_[id];
             took(srv);
-            if (srv.at != health::suspect && srv.quiet > quiet_limit * mean_answer_)
+            if (srv.at != health::suspect && srv.quiet > quiet_limit * mean_answer_ &&
+                srv.silent > least_silent_)
                 feel(id, sign::struck);
             if (srv.at == health::cold && warmth(srv) >= 1)
                 feel(id, sign::warmed);
@@ -627,7 +633,10 @@
     input retry(index) { return input::go; }
     bool is_origin(const server &srv) const { return origin_kind_ != none && srv.as.kind == origin_kind_; }
     void took(server &srv) {
-        srv.quiet += srv.in_flight * (now_ - srv.quiet_at);
+        // Guards the servers' good names against a pause of this proxy: what came meanwhile is not read yet.
+        const double gone = std::min(now_ - srv.quiet_at, 2 * sweep_period);
+        srv.quiet += srv.in_flight * gone;
+        srv.silent += srv.in_flight > 0 ? gone : 0;
         srv.quiet_at = now_;
     }
     double chance() { return (static_cast<double>(chance_()) - 1) / 2147483646.0; }
