--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -41,14 +41,15 @@
      {"random", decider::random},
      {"least_of_two", decider::least_of_two},
      {"plain_ring", decider::plain_ring}}};
-constexpr std::array<std::pair<const char *, plant>, 8> plant_names = {{{"nothing", plant::nothing},
+constexpr std::array<std::pair<const char *, plant>, 9> plant_names = {{{"nothing", plant::nothing},
                                                                         {"lose", plant::lose},
                                                                         {"answer_twice", plant::answer_twice},
                                                                         {"run_twice", plant::run_twice},
                                                                         {"two_out", plant::two_out},
                                                                         {"ignore_drain", plant::ignore_drain},
                                                                         {"push_cold", plant::push_cold},
-                                                                        {"late", plant::late}}};
+                                                                        {"late", plant::late},
+                                                                        {"wrong_body", plant::wrong_body}}};
 constexpr std::array<std::pair<const char *, effect_kind>, 3> effect_names = {
     {{"idempotent", effect_kind::idempotent},
      {"deduplicated", effect_kind::deduplicated},
--- a/src/lab/spec.hpp
+++ b/src/lab/spec.hpp
@@ -136,7 +136,8 @@
     two_out,
     ignore_drain,
     push_cold,
-    late
+    late,
+    wrong_body
 };
 
 struct variant_spec {
--- a/src/lab/virtual_proxy.cpp
+++ b/src/lab/virtual_proxy.cpp
@@ -257,6 +257,9 @@
     of.life = to < servers_.size() ? servers_.at(to).life() : 0;
     ++counts_.sent;
     reach(query, to, number, of.serial, clock_.now(), false);
+    // What its caps would hold back: four times the work.
+    for (int more = 0; more < 3 && as_.breaks == plant::push_cold && to != server; ++more)
+        reach(query, to, number, of.serial, clock_.now(), true);
     if (planted(plant::two_out, plant_every))
         reach(query, (to + 1) % servers_.size(), number, of.serial, clock_.now(), true);
 }
@@ -380,7 +383,7 @@
     }
     if (of.gone || (how == reply::completed && planted(plant::lose, plant_every)))
         return;
-    const bool fits = true;
+    const bool fits = how != reply::completed || !planted(plant::wrong_body, plant_every);
     on_answer(of.is, how, come_back, fits);
     if (planted(plant::answer_twice, plant_every))
         on_answer(of.is, how, come_back, fits);
--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -136,6 +136,7 @@
     double room_ = 0;                        // what it comes to
     double mean_answer_ = 0;                 // s
     double least_silent_ = 0;                // s
+    double swept_ = 0;                       // when the last sweep was, s
     bool mass_doubt_ = false;                // so many are suspect that suspicion is not to be trusted
 
     double call_at_ = 0, call_gap_ = 0; // when the list is asked for next; s between calls
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -70,6 +70,7 @@
         repeats_ = repeat_burst;
         own_part_ = chance();
         call_gap_ = first_call_gap;
+        swept_ = now;
         all_ = {start_cap / peers_, least_cap / peers_, all_slow_share, all_weight};
         call_at_ = now + chance() * call_gap_;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
@@ -595,8 +596,11 @@
             actions.push_back({action_kind::subscribe});
             call_at_ = now + std::min(most_call_gap, allow_.must_ask_in); // mostly answered before this
         }
+        // Guards the servers' good names against a pause of this proxy: what came meanwhile is not read yet.
+        const double late = std::max(0.0, now - std::exchange(swept_, now) - 2 * sweep_period);
         for (const index id : on_ring_) {
             auto &srv = servers_[id];
+            srv.quiet_at = std::min(now, srv.quiet_at + late);
             took(srv);
             if (srv.at != health::suspect && srv.quiet > quiet_limit * mean_answer_ &&
                 srv.silent > least_silent_)
@@ -633,10 +637,8 @@
     input retry(index) { return input::go; }
     bool is_origin(const server &srv) const { return origin_kind_ != none && srv.as.kind == origin_kind_; }
     void took(server &srv) {
-        // Guards the servers' good names against a pause of this proxy: what came meanwhile is not read yet.
-        const double gone = std::min(now_ - srv.quiet_at, 2 * sweep_period);
-        srv.quiet += srv.in_flight * gone;
-        srv.silent += srv.in_flight > 0 ? gone : 0;
+        srv.quiet += srv.in_flight * (now_ - srv.quiet_at);
+        srv.silent += srv.in_flight > 0 ? now_ - srv.quiet_at : 0;
         srv.quiet_at = now_;
     }
     double chance() { return (static_cast<double>(chance_()) - 1) / 2147483646.0; }
--- /dev/null
+++ b/tests/lab_test.cpp
@@ -0,0 +1,469 @@
+// SPDX-License-Identifier: Apache-2.0
+// The laboratory: its models, its referee (which must see what is planted, and nothing where nothing is), its
+// files, and the real proxy on sockets before it.
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "helpers.hpp"
+
+#include "lab/client_port.hpp"
+#include "lab/fleet_ports.hpp"
+#include "lab/plot.hpp"
+#include "lab/report.hpp"
+#include "lab/socket_run.hpp"
+#include "lab/virtual_run.hpp"
+
+#include <cmath>
+#include <cstdio>
+#include <doctest/doctest.h>
+#include <filesystem>
+
+namespace harrierpass::lab {
+
+const std::string head = R"(
+length = "4s"
+[fleet]
+servers = 4
+store = 200
+[cold]
+start_capacity = 0.2
+warm_time = "6s"
+push_limit = 3
+[load]
+rate = 200
+keys = 300
+[proxies]
+count = 2
+[[use_case]]
+name = "lookup"
+effect = "idempotent"
+share = 0.6
+work = "8ms"
+slo = "200ms"
+timeout = "600ms"
+[[use_case]]
+name = "booking"
+effect = "deduplicated"
+group = "all"
+window = "10s"
+write = true
+share = 0.2
+work = "8ms"
+slo = "200ms"
+timeout = "600ms"
+[[use_case]]
+name = "invoice"
+effect = "non_idempotent"
+write = true
+share = 0.2
+work = "8ms"
+slo = "200ms"
+timeout = "600ms"
+)";
+
+experiment made(const std::string &rest) {
+    return parse_experiment(head + rest, "day.toml");
+}
+
+std::string fault(const std::string &kind, const std::string &at, const std::string &more) {
+    return "[[fault]]\nkind = \"" + kind + "\"\nat = \"" + at + "\"\n" + more + "\n";
+}
+
+TEST_CASE("the histogram keeps percentiles within its stated error") {
+    chance from(3);
+    histogram of;
+    std::vector<double> all;
+    for (int i = 0; i < 20000; ++i) {
+        all.push_back(from.lognormal(0.01, 1.5));
+        of.add(all.back());
+    }
+    std::sort(all.begin(), all.end());
+    for (const double percent : {1.0, 25.0, 50.0, 90.0, 99.0, 99.9}) {
+        const double exact = all[static_cast<std::size_t>(std::ceil(percent / 100 * 20000)) - 1];
+        CAPTURE(percent);
+        CHECK(std::fabs(of.percentile(percent) - exact) <= 0.016 * exact);
+    }
+    CHECK(histogram().percentile(50) == 0);
+}
+
+TEST_CASE("an experiment that cannot be used is refused with file, line and reason") {
+    const auto said = [](const std::string &text) {
+        try {
+            parse_experiment(text, "day.toml");
+        } catch (const bad_experiment &bad) {
+            return std::string(bad.what());
+        }
+        return std::string("taken");
+    };
+    const std::string use = "[[use_case]]\nname = \"a\"\n";
+    CHECK(said(use) == "taken");
+    const std::vector<std::pair<std::string, std::string>> all = {
+        {"", "day.toml:1: the experiment has no [[use_case]]"},
+        {"lenght = \"2s\"\n" + use, "day.toml:1: unknown key lenght"},
+        {"length = 2\n" + use, "day.toml:1: length is no text"},
+        {"length = \"2 h\"\n" + use,
+         "day.toml:1: length is no time with a unit, as \"8ms\", \"2s\", \"200us\" or \"1min\""},
+        {"length = \"2.5.1s\"\n" + use,
+         "day.toml:1: length is no time with a unit, as \"8ms\", \"2s\", \"200us\" or \"1min\""},
+        {use + "work = \"8\"\n",
+         "day.toml:3: use_case.work is no time with a unit, as \"8ms\", \"2s\", \"200us\" or \"1min\""},
+        {"[fleet]\nservers = 0\n" + use, "day.toml:2: fleet.servers is not between 1 and 20000"},
+        {"[fleet]\nservers = 2.5\n" + use, "day.toml:2: fleet.servers is no whole number"},
+        {"[fleet]\nstores = 3\n" + use, "day.toml:2: unknown key fleet.stores"},
+        {use + "effect = \"maybe\"\n",
+         "day.toml:3: use_case.effect is \"maybe\", and known are: idempotent, deduplicated, non_idempotent"},
+        {use + "effect = \"deduplicated\"\n", "day.toml:1: a deduplicated use_case needs a window"},
+        {use + "[[fault]]\nkind = \"crash\"\nat = \"1s\"\n", "day.toml:3: crash needs servers or zone"},
+        {use + "[[fault]]\nkind = \"crash\"\nat = \"1s\"\nservers = [7]\n",
+         "day.toml:6: fault.servers names a server that the fleet does not have"},
+        {use + "[[fault]]\nkind = \"crash\"\nat = \"1s\"\nzone = \"x\"\n",
+         "day.toml:6: fault.zone names none of the fleet's zones"},
+        {use + "[[fault]]\nkind = \"flood\"\nat = \"1s\"\ntenant = \"x\"\n",
+         "day.toml:6: fault.tenant names no tenant"},
+        {"seeds = [1, \"x\"]\n" + use, "day.toml:1: seeds holds what is no whole number below 2.14748e+09"},
+        {"length = \"1s\"\nlength = \"1s\"\n" + use, "day.toml:2:"},
+        {"[fleet\n" + use, "day.toml:1:"}};
+    for (const auto &[text, why] : all) {
+        CAPTURE(text);
+        CHECK(said(text).substr(0, why.size()) == why);
+    }
+}
+
+// What one server says to a list of jobs, each "TIME key" or "TIME op!" for a write, in virtual time.
+struct bench {
+    explicit bench(const std::string &rest)
+        : given(made(rest)), judge(clock, given, 0), servers(clock, given, judge, 1) {}
+    void send(double at, index server, const job &what) {
+        clock.at(at, [this, server, what] {
+            judge.strangers = true;
+            judge.meet(what.op, what.attempt, what.use_case);
+            judge.received(what.op, what.attempt, server, clock.now());
+            servers.at(server).receive(what, [this, what, server](const result &with) {
+                judge.over(what.op, what.attempt, server);
+                came.push_back({clock.now(), what.op, with});
+            });
+        });
+    }
+    struct one {
+        double at;
+        operation op;
+        result with;
+    };
+    timeline clock;
+    experiment given;
+    referee judge;
+    fleet servers;
+    std::vector<one> came;
+};
+
+TEST_CASE("a server: its store, one fetch a key, its queue, and repeats that it drops") {
+    bench of("[origin]\nwork = \"20ms\"\nspread = 0\n");
+    const job read{1, 0, 0, false, true, 9000};
+    of.send(0, 0, read);
+    of.send(0, 0, {2, 0, 0, false, true, 9000});
+    of.send(1, 0, {3, 0, 0, false, true, 9000});
+    of.clock.advance(2, true);
+    REQUIRE(of.came.size() == 3);
+    CHECK(of.came[0].with.says == note::miss);
+    CHECK(of.came[1].with.says == note::pending);
+    CHECK(of.came[2].with.says == note::hit);
+    CHECK(of.servers.source().fetches() == 1);
+
+    const job booking{4, 0, 1, true, true, 9000}; // a write voids the copy
+    of.send(3, 1, booking);
+    of.send(3.5, 2, {4, 1, 1, true, true, 9000}); // again, at another server: dropped, and answered
+    of.send(4, 0, {5, 0, 0, false, true, 9000});
+    of.clock.advance(5, true);
+    REQUIRE(of.came.size() == 6);
+    CHECK(of.judge.effects() == 4 + 1); // four reads and one write
+    CHECK(of.came[5].with.says == note::miss);
+
+    for (operation op = 10; op < 200; ++op) // two cores and 100 places
+        of.send(6, 3, {op, 0, 0, false, true, op % 100});
+    of.clock.advance(10, true);
+    const auto full = std::count_if(of.came.begin(), of.came.end(), [](const bench::one &each) {
+        return each.with.is == result::kind::queue_full;
+    });
+    CHECK(full == 190 - 102);
+    CHECK(of.judge.broken() == 0);
+}
+
+TEST_CASE("a fault that begins during another one") {
+    bench of("");
+    auto &server = of.servers.at(0);
+    server.hang(true);
+    of.send(0.1, 0, {1, 0, 0, false, true, 1});
+    of.clock.advance(1, true);
+    CHECK(of.came.empty());
+    server.vanish(true);
+    server.hang(false);
+    of.clock.advance(2, true);
+    CHECK(of.came.empty()); // the machine is still gone
+    server.vanish(false);
+    of.clock.advance(3, true);
+    CHECK(of.came.size() == 1); // its work went on
+    server.slow(4, true);
+    server.crash(true);
+    server.crash(true);
+    server.crash(false);
+    CHECK_FALSE(server.up()); // one of two crashes is over
+    server.crash(false);
+    CHECK(server.up());
+    CHECK(server.warmth() < 0.25);
+    CHECK(server.kept() == 0);
+    server.slow(4, false);
+    CHECK(server.answers_probes());
+}
+
+// Each rule, broken on purpose by the stand-in proxy, is reported with the query's history; without the plant
+// the same day is clean.
+TEST_CASE("the referee sees what is planted, and nothing else") {
+    const std::string day = fault("crash", "1s", "for = \"300ms\"\nservers = [1]") +
+                            fault("drain", "2s", "servers = [2]") + "[list]\ndrain_grace = \"200ms\"\n";
+    const std::vector<std::pair<plant, rule>> all = {
+        {plant::lose, rule::lost},           {plant::answer_twice, rule::answered_twice},
+        {plant::run_twice, rule::ran_twice}, {plant::two_out, rule::two_out},
+        {plant::ignore_drain, rule::drain},  {plant::push_cold, rule::cold},
+        {plant::late, rule::late},           {plant::wrong_body, rule::wrong_body}};
+    const experiment given = made(day);
+    for (const auto &[breaks, which] : all) {
+        variant_spec as;
+        as.breaks = breaks;
+        const auto run = run_virtual(given, as, 1);
+        CAPTURE(std::string(name_of(which)));
+        CHECK(run.rules[static_cast<std::size_t>(which)].first == name_of(which));
+        CHECK(run.rules[static_cast<std::size_t>(which)].second > 0);
+        REQUIRE(!run.stories.empty());
+        if (which != rule::cold) { // the first story tells the query's life
+            const bool told =
+                std::any_of(run.stories.begin(), run.stories.end(), [&](const std::string &story) {
+                    return story.find(std::string("rule ") + name_of(which)) != std::string::npos &&
+                           story.find("asked of proxy") != std::string::npos;
+                });
+            CHECK(told);
+        }
+    }
+    for (const std::uint32_t seed : {1U, 2U, 3U}) {
+        const auto clean = run_virtual(given, {}, seed);
+        CHECK(clean.broken() == 0);
+        CHECK(clean.stories.empty());
+        CHECK(clean.queries > 700);
+        CHECK(clean.executions >= clean.completed);
+    }
+}
+
+// Two executions that reach different groups, or lie further apart than the window, and one that a machine
+// held in its hand and ran late, which no proxy can tell.
+TEST_CASE("a deduplicated operation may run again only where nobody was at fault") {
+    const auto broken = [](const std::string &group, double second_at, bool held) {
+        experiment given = made("");
+        given.use_cases[1].decides.group = group == "all" ? repeat_group::all : repeat_group::cell;
+        given.use_cases[1].decides.window = 2;
+        timeline clock;
+        referee judge(clock, given, 0);
+        judge.asked(7, 0, 0, 1, 100);
+        judge.received(7, 0, 0, 0);
+        if (!held)
+            judge.ran(7, 0, 0);
+        judge.over(7, 0, 0);
+        clock.advance(second_at, true);
+        judge.received(7, 0, 1, second_at);
+        judge.ran(7, 0, 1);
+        judge.over(7, 0, 1);
+        clock.advance(50, true);
+        if (held)
+            judge.ran(7, 0, 0);
+        return std::pair(judge.broken(rule::ran_twice), judge.late_effects());
+    };
+    CHECK(broken("all", 1, false) == std::pair<std::uint64_t, std::uint64_t>(0, 1));
+    CHECK(broken("all", 1, true) == std::pair<std::uint64_t, std::uint64_t>(0, 1));
+    CHECK(broken("all", 3, false) == std::pair<std::uint64_t, std::uint64_t>(1, 0));
+    CHECK(broken("cell", 1, false) == std::pair<std::uint64_t, std::uint64_t>(1, 0));
+}
+
+TEST_CASE("one seed, one trace") {
+    const experiment given = made(fault("vanish", "1s", "for = \"1s\"\nservers = [0]") +
+                                  fault("proxy_kill", "2s", "for = \"300ms\"\nproxies = [1]"));
+    const auto trace = [&](std::uint32_t seed) {
+        std::ostringstream text;
+        run_options how;
+        how.trace = &text;
+        const auto run = run_virtual(given, {}, seed, how);
+        return std::pair(text.str(), run.trace);
+    };
+    const auto one = trace(5), two = trace(5), other = trace(6);
+    CHECK(one.first.size() > 10000);
+    CHECK(one == two);
+    CHECK(one.first != other.first);
+    CHECK(one.second != other.second);
+}
+
+TEST_CASE("differences are told from noise") {
+    const auto run = [](const char *variant, std::uint32_t seed, double service) {
+        run_result made;
+        made.experiment = "day";
+        made.variant = variant;
+        made.seed = seed;
+        made.service = service;
+        return made;
+    };
+    std::vector<run_result> all;
+    for (std::uint32_t seed = 1; seed <= 4; ++seed) {
+        all.push_back(run("base", seed, 0.5 + 0.1 * seed));
+        all.push_back(run("better", seed, 0.55 + 0.1 * seed + 0.001 * (seed % 2)));
+        all.push_back(run("same", seed, 0.5 + 0.1 * seed + (seed % 2 == 0 ? 0.05 : -0.05)));
+    }
+    all.push_back(run("better", 9, 0)); // no pair: does not count
+    run_result voided = run("better", 1, 0);
+    voided.void_because = "late";
+    all.push_back(voided); // nor does this
+    const auto made = compare(all);
+    REQUIRE(made.size() == 2);
+    CHECK(made[0].pairs == 4);
+    CHECK(made[0].differs());
+    CHECK(made[0].difference == doctest::Approx(0.0505));
+    CHECK_FALSE(made[1].differs());
+}
+
+TEST_CASE("results come back from their file, and a bad line is named") {
+    const experiment given = made("");
+    const auto run = run_virtual(given, {}, 1);
+    const std::string path =
+        std::filesystem::temp_directory_path() / ("lab-" + std::to_string(::getpid()) + ".jsonl");
+    std::ofstream(path) << to_json(run, given) << '\n' << to_json(run, given) << '\n';
+    const auto back = read_results(path);
+    REQUIRE(back.size() == 2);
+    CHECK(back[1].run.service == run.service);
+    CHECK(back[1].run.slot_rate.size() == run.slot_rate.size());
+    std::ofstream(path, std::ios::app) << "{\"seed\":1}\n";
+    std::string said;
+    try {
+        read_results(path);
+    } catch (const bad_experiment &bad) {
+        said = bad.what();
+    }
+    CHECK(said.starts_with(path + ":3: no result"));
+    std::filesystem::remove(path);
+    const std::string svg = plot_svg({run}, given.faults);
+    CHECK(svg.starts_with("<svg "));
+    CHECK(svg.find("nan") == std::string::npos);
+}
+
+// ---- On sockets
+
+// Plays the loop until something is there, or fails.
+void until(loop &in, const std::function<bool()> &what) {
+    const double end = in.clock.now() + 20;
+    in.run([&] { return what() || in.clock.now() > end; });
+    REQUIRE(what());
+}
+
+TEST_CASE("servers on sockets: hits, repeats that are seen, deaths and silences") {
+    experiment given = made("[network]\ndial_limit = \"200ms\"\n");
+    given.fleet.warm = false;
+    loop in;
+    stage all(in.clock, given, 1, 0.05);
+    all.judge.strangers = true;
+    const fleet_ports ports(in, all);
+    struct caller {
+        caller(loop &with, const std::string &to)
+            : on(std::make_shared<channel>(with, dial_soon(*parse_address(to)), http_reader::side::answer)) {
+            on->on_message = [this](const auto &, const http_reader &answer) {
+                said =
+                    std::to_string(answer.head().status) + " " + std::string(answer.head().value("X-Cache"));
+                ++count;
+            };
+            on->on_end = [this](const auto &, channel::ending how) {
+                ended = true;
+                why = how;
+            };
+            on->start(true);
+        }
+        std::shared_ptr<channel> on;
+        std::string said;
+        int count = 0;
+        bool ended = false;
+        channel::ending why = channel::ending::closed;
+    };
+    const auto get = [](const std::string &id, const std::string &path) {
+        return "GET " + path + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\n\r\n";
+    };
+    caller one(in, ports.server_at(0)), two(in, ports.server_at(1));
+    one.on->send(get("a1", "/lookup/7"));
+    until(in, [&] { return one.count == 1; });
+    CHECK(one.said == "200 miss");
+    one.on->send(get("a2", "/lookup/7"));
+    until(in, [&] { return one.count == 2; });
+    CHECK(one.said == "200 hit");
+    one.on->send("GET /ping HTTP/1.1\r\nHost: x\r\n\r\n");
+    until(in, [&] { return one.count == 3; });
+    CHECK(one.said == "200 ");
+    one.on->send(get("a3", "/nothing/7"));
+    until(in, [&] { return one.count == 4; });
+    CHECK(one.said == "400 ");
+    CHECK(all.judge.broken() == 0);
+
+    // The same query at two servers at once.
+    all.servers.at(0).hang(true);
+    all.servers.at(1).hang(true);
+    one.on->send(get("b1", "/lookup/8"));
+    two.on->send(get("b1", "/lookup/8"));
+    until(in, [&] { return all.judge.broken(rule::two_out) == 1; });
+    all.servers.at(0).crash(true);
+    until(in, [&] { return one.ended; });
+    CHECK(one.why == channel::ending::reset);
+    caller refused(in, ports.server_at(0));
+    until(in, [&] { return refused.ended; });
+    CHECK(refused.why == channel::ending::failed);
+    all.servers.at(0).hang(false);
+    all.servers.at(0).crash(false); // the same address, cold
+    caller back(in, ports.server_at(0));
+    back.on->send(get("c1", "/lookup/7"));
+    until(in, [&] { return back.count == 1; });
+    CHECK(back.said == "200 miss");
+
+    // A machine that is gone: no answer, no refusal, and no connection comes up.
+    all.servers.at(0).vanish(true);
+    back.on->send(get("c2", "/lookup/7"));
+    CHECK_FALSE(dial(*parse_address(ports.server_at(0)), 0.2));
+    CHECK_FALSE(back.ended);
+    CHECK(back.count == 1);
+    all.servers.at(0).vanish(false);
+    until(in, [&] { return back.count == 2; });
+    CHECK(back.said == "200 hit");
+}
+
+run_result on_sockets(const std::string &rest, bool embeds, decider by = decider::module) {
+    socket_options how;
+    how.program = HARRIERPASS_PROGRAM;
+    how.self = HARRIERPASS_LAB_PROGRAM;
+    how.embeds = embeds;
+    variant_spec as;
+    as.by = by;
+    const auto run = run_on_sockets(made(rest), as, 3, how);
+    CAPTURE(run.stories);
+    std::string stories;
+    for (const auto &each : run.stories)
+        stories += each;
+    CAPTURE(stories);
+    CHECK(run.broken() == 0);
+    CHECK(run.queries > 500);
+    return run;
+}
+
+TEST_CASE("the proxy on sockets: a crash, a drain, and a proxy killed in mid-run") {
+    const auto run = on_sockets(fault("crash", "1s", "for = \"1s\"\nservers = [1]") +
+                                    fault("drain", "2s", "servers = [2]") +
+                                    fault("proxy_kill", "2500ms", "for = \"500ms\"\nproxies = [0]"),
+                                false);
+    CHECK(run.completed > run.queries * 9 / 10);
+    CHECK(run.none < run.queries / 20);
+}
+
+TEST_CASE("the proxy on sockets, embedded, and a baseline as a process") {
+    const std::string spoilt = fault("spoilt", "500ms", "for = \"3s\"\nservers = [0]\nfactor = 0.3");
+    const auto embedded = on_sockets(spoilt, true);
+    const auto baseline = on_sockets(spoilt, false, decider::least_of_two);
+    CHECK(embedded.completed > baseline.completed); // spoilt reads are tried again
+    CHECK(baseline.aborted > 0);
+}
+
+} // namespace harrierpass::lab
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdio>
 #include <doctest/doctest.h>
+#include <utility>
 
 namespace harrierpass {
 using test::read_file;
@@ -54,6 +55,44 @@
     std::unique_ptr<router> route;
 };
 
+// What is called off, and when, at two servers that hold a query each and say nothing, after answers so quick
+// that a silence of twelve of them is a twinkling; sweeps come as usual, but for one gap.
+double called_off_after(double gap_at, double gap) {
+    settings given;
+    given.use_cases.push_back({effect_kind::idempotent, repeat_group::all, 0, 1, 1, 0});
+    given.allow.may_cancel = true;
+    given.allow.max_executions = 3;
+    const auto route = make_router(given, 1, 0);
+    const std::array<list_entry, 2> both = {{{0, "a"}, {1, "b"}}};
+    route->listed(0, list_kind::whole, both);
+    double now = 0.01;
+    for (std::uint64_t key = 0; key < 200; ++key, now += 0.0002) {
+        route->arrived(now, {0, 0, 0, true, false, key, now + 9});
+        route->ended(now + 0.0001, 0, 0, outcome::completed, true, false);
+    }
+    const double since = now;
+    route->woken(now);
+    route->arrived(now, {0, 0, 0, true, false, 1, now + 9});
+    route->arrived(now, {1, 0, 0, true, false, 2, now + 9});
+    for (route->actions.clear(); now < since + 9;
+         now += now - since >= gap_at && gap > 0 ? std::exchange(gap, 0) : 0.05) {
+        route->woken(now);
+        if (std::any_of(route->actions.begin(), route->actions.end(),
+                        [](const action &each) { return each.kind == action_kind::cancel; }))
+            return now - since;
+    }
+    return now - since;
+}
+
+// Guards healthy servers' good names against pauses of a process, theirs or this proxy's own, where answers
+// are quick: the SLO time is 1 s.
+TEST_CASE("a pause is no silence") {
+    CHECK(called_off_after(9, 0) > 0.2);
+    CHECK(called_off_after(9, 0) < 0.31);
+    CHECK(called_off_after(0.05, 2) > 2.14); // it slept for 2 s, and has looked for 0.2 s in all
+    CHECK(called_off_after(0.05, 2) < 2.36);
+}
+
 // Queries with 3000 keys over ten servers, then over nine; a hot key among many proxies; a server that
 // started.
 TEST_CASE("shares of servers, of one router and of many side by side") {
