A machine that is gone: what its callers gave up is never run when it is back

Seen: on sockets the referee told of second and late executions at servers that had vanished; the proxy had closed those connections, which the stand-in could not see while it stood still. Change: the stand-in notices the close, and drops what waits in the connection when the machine is back.

--- a/src/lab/channel.cpp
+++ b/src/lab/channel.cpp
@@ -36,12 +36,15 @@
 }
 
 void channel::ask() {
-    if (socket_)
-        loop_.change(socket_.get(), still_ ? 0U : EPOLLIN | (connecting_ || !out_.empty() ? EPOLLOUT : 0U));
+    if (socket_ && !gone_)
+        loop_.change(socket_.get(),
+                     still_ ? EPOLLRDHUP : EPOLLIN | (connecting_ || !out_.empty() ? EPOLLOUT : 0U));
 }
 
 void channel::stand(bool still) {
     still_ = still;
+    if (gone_ && !still_ && socket_)
+        return lost(ending::closed);
     ask();
 }
 
@@ -67,7 +70,8 @@
 void channel::end(bool reset) {
     if (!socket_)
         return;
-    loop_.forget(socket_.get());
+    if (!gone_)
+        loop_.forget(socket_.get());
     if (reset) {
         const linger none_left{1, 0};
         setsockopt(socket_.get(), SOL_SOCKET, SO_LINGER, &none_left, sizeof none_left);
@@ -88,8 +92,12 @@
 void channel::came(std::uint32_t events) {
     const auto self = shared_from_this();
     if (still_) { // errors are told whatever is asked for
-        if ((events & (EPOLLERR | EPOLLHUP)) != 0)
-            lost(ending::reset);
+        if ((events & (EPOLLRDHUP | EPOLLERR | EPOLLHUP)) == 0 || gone_)
+            return;
+        gone_ = true;
+        loop_.forget(socket_.get());
+        if (on_gone)
+            on_gone(self);
         return;
     }
     if (connecting_ && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0) {
--- a/src/lab/channel.hpp
+++ b/src/lab/channel.hpp
@@ -23,11 +23,14 @@
     // Called from the loop; each may end the channel.
     std::function<void(const std::shared_ptr<channel> &, const http_reader &)> on_message;
     std::function<void(const std::shared_ptr<channel> &, ending)> on_end; // the other side's doing; once
+    std::function<void(const std::shared_ptr<channel> &)> on_gone;        // while it stands
 
     void start(bool connecting); // watches; connecting: until it is up, what is sent waits
     void send(std::string_view text);
-    void stand(bool still); // neither reads nor writes, as a machine that is gone
-    void end(bool reset);   // without on_end
+    // Neither reads nor writes, as a machine that is gone. That the other side has closed meanwhile is told
+    // by on_gone; the connection ends, with what waits in it unread, when this stands no longer.
+    void stand(bool still);
+    void end(bool reset); // without on_end
     bool open() const { return static_cast<bool>(socket_); }
     bool heard() const { return begun_; } // part of a message has come
 
@@ -49,7 +52,7 @@
     std::unique_ptr<char[]> buffer_;
     std::unique_ptr<http_reader> reader_;
     std::string out_;
-    bool connecting_ = false, still_ = false, begun_ = false;
+    bool connecting_ = false, still_ = false, begun_ = false, gone_ = false;
 };
 
 // Starts to connect; without a socket where none can be had.
--- a/src/lab/fleet_ports.cpp
+++ b/src/lab/fleet_ports.cpp
@@ -125,7 +125,10 @@
         listen();
     if (listening_)
         plug(silent);
+    std::vector<std::shared_ptr<channel>> all; // one that was closed meanwhile leaves open_
     for (const auto &[tag, each] : open_)
+        all.push_back(each);
+    for (const auto &each : all)
         each->stand(silent);
 }
 
@@ -159,6 +162,7 @@
             over(on->tag);
             open_.erase(on->tag);
         };
+        made->on_gone = [this](const auto &on) { over(on->tag); };
         open_[made->tag] = made;
         made->start(false);
     }
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -426,9 +426,25 @@
     CHECK_FALSE(dial(*parse_address(ports.server_at(0)), 0.2));
     CHECK_FALSE(back.ended);
     CHECK(back.count == 1);
+    // A caller that gives up meanwhile is seen to, and what it sent is never run.
+    const auto executions = all.judge.executions();
+    two.on->end(false);
+    all.servers.at(1).hang(false);
+    caller tired(in, ports.server_at(1));
+    tired.on->send(get("d1", "/lookup/9"));
+    until(in, [&] { return tired.count == 1; });
+    all.servers.at(1).vanish(true);
+    tired.on->send(get("d2", "/lookup/9"));
+    tired.on->end(false);
+    caller again(in, ports.server_at(2));
+    again.on->send(get("d2", "/lookup/9"));
+    until(in, [&] { return again.count == 1; });
+    all.servers.at(1).vanish(false);
     all.servers.at(0).vanish(false);
     until(in, [&] { return back.count == 2; });
     CHECK(back.said == "200 hit");
+    CHECK(all.judge.executions() == executions + 3); // d1, d2 once, c2
+    CHECK(all.judge.broken() == 1);                  // the two at once, from before
 }
 
 run_result on_sockets(const std::string &rest, bool embeds, decider by = decider::module) {
