--- a/src/lab/plot.cpp
+++ b/src/lab/plot.cpp
@@ -107,14 +107,19 @@
         for (std::size_t i = 0; i < count; ++i) {
             const double step =
                 (width - left - right) / static_cast<double>(std::max<std::size_t>(1, rows[i].size()));
-            for (std::size_t j = 0; j < rows[i].size(); ++j) {
-                const double part = std::log1p(rows[i][j]) / std::log1p(largest);
-                if (part < 0.01)
-                    continue;
-                body_ << "<rect x='" << left + step * static_cast<double>(j) << "' y='"
-                      << at_ + height * static_cast<double>(i) << "' width='" << step + 0.2 << "' height='"
-                      << height << "' fill='rgb(27,108,168)' fill-opacity='" << std::setprecision(2) << part
-                      << std::setprecision(1) << "'/>\n";
+            // Cells that look alike are one; a picture of many servers stays small.
+            const auto shade = [&](std::size_t at) {
+                return std::round(std::log1p(rows[i][at]) / std::log1p(largest) * 12);
+            };
+            for (std::size_t from = 0, to = 0; from < rows[i].size(); from = to) {
+                for (to = from; to < rows[i].size() && shade(to) == shade(from); ++to) {
+                }
+                if (shade(from) > 0)
+                    body_ << "<rect x='" << left + step * static_cast<double>(from) << "' y='"
+                          << at_ + height * static_cast<double>(i) << "' width='"
+                          << step * static_cast<double>(to - from) << "' height='" << height
+                          << "' fill='#1b6ca8' fill-opacity='" << std::setprecision(2) << shade(from) / 12
+                          << std::setprecision(1) << "'/>\n";
             }
         }
         body_ << "<text x='" << left - 6 << "' y='" << at_ + 10
