--- a/src/lab/plot.cpp
+++ b/src/lab/plot.cpp
@@ -84,6 +84,8 @@
         }
         double x = width - right;
         for (auto each = curves.rbegin(); each != curves.rend(); ++each) {
+            if (each->name.empty())
+                continue;
             x -= 8.0 * static_cast<double>(each->name.size()) + 24;
             body_ << "<rect x='" << x << "' y='" << at_ - 12 << "' width='10' height='3' fill='"
                   << each->colour << "'/><text x='" << x + 14 << "' y='" << at_ - 8 << "' font-size='11'>"
@@ -204,15 +206,15 @@
         const auto &all = by_name[names[i]];
         const char *const colour = colours[i % colours.size()];
         service.push_back({names[i], mean_of(all, &run_result::slot_service), colour});
-        times.push_back({names[i] + " p99", mean_of(all, &run_result::slot_p99), colour});
-        times.push_back({"p50", mean_of(all, &run_result::slot_p50), colour, true});
+        times.push_back({names[i], mean_of(all, &run_result::slot_p99), colour});
+        times.push_back({"", mean_of(all, &run_result::slot_p50), colour, true});
         fetches.push_back({names[i], mean_of(all, &run_result::slot_fetches), colour});
     }
     for (auto &each : times)
         for (double &value : each.values)
             value = value > 0 ? value * 1000 : std::nan("");
     made.lines("service", service, 1, false, 0);
-    made.lines("time of an answer, ms", times, 0, true, 0.1);
+    made.lines("time of an answer, ms: p99, dashed p50", times, 0, true, 0.1);
     made.lines("origin fetches a second", fetches, 0, false, 0);
     made.heat(names[0] + ": executions in hand by server", by_name[names[0]][0]->in_hand);
     return made.text();
--- /dev/null
+++ b/src/store/store.hpp
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+// The tenants' set on disk (SQLite, WAL, synchronous = FULL): a transaction that commit() has returned from
+// is there after a kill at any instant, and one that it has not is there whole or not at all. A second file,
+// the last good copy, is what a damaged store is answered for from.
+#pragma once
+
+#include "tenants/model.hpp"
+
+#include <stdexcept>
+
+struct sqlite3;
+
+namespace harrierpass::store {
+
+// The store cannot be read, or cannot be written: the message names the file and the cause.
+struct store_failure : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+// Who changed what. `before` and `after` are tenants as JSON, empty where there was none; no secrets.
+struct audit_entry {
+    std::uint64_t number = 0;  // from 1 on, without gaps
+    std::uint64_t version = 0; // of the set that it made
+    double when = 0;           // Unix time, s
+    std::string who, what, name, before, after;
+};
+
+// The answer that was given to a creation under its idempotency key.
+struct kept_answer {
+    std::string request; // a hash of what was asked; another request under the key is refused
+    std::string answer;
+};
+
+struct opened {
+    tenants::set_ptr set;
+    std::string damage; // not empty: what is wrong with the store; the set is the last good copy's
+};
+
+class tenant_store {
+public:
+    // Opens or makes the file, brings an older schema up to date, and checks it whole. A damaged file is left
+    // as it is, the set comes from the last good copy beside it (FILE.good), and every commit fails. Throws
+    // store_failure where neither can be read.
+    explicit tenant_store(std::string path);
+    ~tenant_store();
+    tenant_store(const tenant_store &) = delete;
+    tenant_store &operator=(const tenant_store &) = delete;
+
+    const opened &at_start() const { return at_start_; }
+
+    // The next version, and its audit entries (number and version are given here). Throws store_failure, as
+    // on a full disk, and then nothing has changed.
+    void commit(const tenants::tenant_set &before, const tenants::tenant_set &after,
+                std::vector<audit_entry> log, const std::string &idempotency_key = {},
+                const kept_answer &answer = {});
+
+    std::optional<kept_answer> answered(const std::string &idempotency_key);
+    std::vector<audit_entry> audit(std::uint64_t after, std::size_t most);
+
+    // A whole copy, while all goes on: to a file of its own, then under its name at once.
+    void copy_to(const std::string &path);
+    const std::string &path() const { return path_; }
+
+private:
+    struct statement;
+    void run(const char *sql);
+    void migrate();
+    std::string damage();
+    tenants::set_ptr load();
+
+    const std::string path_;
+    sqlite3 *db_ = nullptr;
+    opened at_start_;
+};
+
+} // namespace harrierpass::store
--- /dev/null
+++ b/src/tenants/text.cpp
@@ -0,0 +1,240 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "tenants/text.hpp"
+
+#include <array>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+namespace harrierpass::tenants {
+namespace {
+
+using nlohmann::json;
+
+constexpr int most_depth = 16; // of nested values; a tenant's own nest three deep
+constexpr std::array<std::pair<const char *, state>, 3> states = {
+    {{"staged", state::staged}, {"active", state::active}, {"draining", state::draining}}};
+constexpr std::array<std::pair<const char *, effect_kind>, 3> effects = {
+    {{"idempotent", effect_kind::idempotent},
+     {"deduplicated", effect_kind::deduplicated},
+     {"non_idempotent", effect_kind::non_idempotent}}};
+constexpr std::array<std::pair<const char *, repeat_group>, 3> groups = {
+    {{"all", repeat_group::all}, {"zone", repeat_group::zone}, {"cell", repeat_group::cell}}};
+
+template <typename Names, typename Kind> const char *text_of(const Names &names, Kind kind) {
+    for (const auto &[name, each] : names)
+        if (each == kind)
+            return name;
+    return "";
+}
+
+json value_of(const tenant &of, bool secrets) {
+    json made = {{"name", of.name},
+                 {"state", name_of(of.is)},
+                 {"limits",
+                  {{"rate", of.limits.rate},
+                   {"burst", of.limits.burst},
+                   {"work", of.limits.work},
+                   {"in_flight", of.limits.in_flight},
+                   {"body", of.limits.body},
+                   {"connections", of.limits.connections},
+                   {"weight", of.limits.weight}}},
+                 {"use_cases", json::array()},
+                 {"routes", json::array()},
+                 {"keys", json::array()}};
+    for (const auto &each : of.use_cases)
+        made["use_cases"].push_back({{"name", each.name},
+                                     {"effect", text_of(effects, each.decides.effect)},
+                                     {"group", text_of(groups, each.decides.group)},
+                                     {"window", each.decides.window},
+                                     {"slo_time", each.decides.slo_time},
+                                     {"statement_timeout", each.statement_timeout},
+                                     {"importance", each.decides.importance},
+                                     {"tardy", each.decides.tardy}});
+    for (const auto &each : of.routes)
+        made["routes"].push_back(
+            {{"host", each.host}, {"prefix", each.prefix}, {"pool", each.pool}, {"use_case", each.use_case}});
+    for (const auto &each : of.keys) {
+        json key = {{"id", each.id}, {"note", each.note}};
+        if (secrets)
+            key["hash"] = each.hash;
+        made["keys"].push_back(std::move(key));
+    }
+    return made;
+}
+
+// Reads one object member by member, and blames what is left.
+class reader {
+public:
+    using member = std::function<void(const json &, const std::string &)>;
+    std::vector<fault> faults;
+
+    void object(const json &from, const std::string &at,
+                const std::vector<std::pair<const char *, member>> &members) {
+        if (!from.is_object())
+            return blame(at, "is no object");
+        for (const auto &[name, value] : from.items()) {
+            const auto found = std::find_if(members.begin(), members.end(),
+                                            [&](const auto &each) { return name == each.first; });
+            if (found == members.end())
+                blame(at + "/" + name, "is not known");
+            else
+                found->second(value, at + "/" + name);
+        }
+    }
+    template <typename Each> member list(Each each) {
+        return [this, each](const json &from, const std::string &at) {
+            if (!from.is_array())
+                return blame(at, "is no list");
+            for (std::size_t i = 0; i < from.size(); ++i)
+                each(from[i], at + "/" + std::to_string(i));
+        };
+    }
+    member text(std::string &to) {
+        return [this, &to](const json &from, const std::string &at) {
+            if (!from.is_string())
+                return blame(at, "is no text");
+            to = from.get<std::string>();
+        };
+    }
+    member number(double &to) {
+        return [this, &to](const json &from, const std::string &at) {
+            if (!from.is_number())
+                return blame(at, "is no number");
+            to = from.get<double>();
+        };
+    }
+    template <typename Whole> member whole(Whole &to, double most) {
+        return [this, &to, most](const json &from, const std::string &at) {
+            if (!from.is_number_unsigned() || from.get<double>() > most)
+                return blame(at, "is no whole number from 0 on, or too large a one");
+            to = static_cast<Whole>(from.get<std::uint64_t>());
+        };
+    }
+    template <typename Names, typename Kind> member one_of(const Names &names, Kind &to) {
+        return [this, &names, &to](const json &from, const std::string &at) {
+            for (const auto &[name, kind] : names)
+                if (from.is_string() && from.get<std::string>() == name) {
+                    to = kind;
+                    return;
+                }
+            std::string known;
+            for (const auto &each : names)
+                known.append(known.empty() ? "" : ", ").append(each.first);
+            blame(at, "is none of " + known);
+        };
+    }
+    void blame(const std::string &at, const std::string &why) { faults.push_back({at, why}); }
+};
+
+read_tenant of_value(const json &from, bool secrets) {
+    read_tenant made;
+    tenant &to = made.made;
+    reader is;
+    is.object(from, "",
+              {{"name", is.text(to.name)},
+               {"state", is.one_of(states, to.is)},
+               {"limits",
+                [&](const json &value, const std::string &at) {
+                    is.object(value, at,
+                              {{"rate", is.number(to.limits.rate)},
+                               {"burst", is.number(to.limits.burst)},
+                               {"work", is.number(to.limits.work)},
+                               {"in_flight", is.whole(to.limits.in_flight, 1e9)},
+                               {"body", is.whole(to.limits.body, 1e12)},
+                               {"connections", is.whole(to.limits.connections, 1e9)},
+                               {"weight", is.number(to.limits.weight)}});
+                }},
+               {"use_cases", is.list([&](const json &value, const std::string &at) {
+                    auto &use = to.use_cases.emplace_back();
+                    is.object(value, at,
+                              {{"name", is.text(use.name)},
+                               {"effect", is.one_of(effects, use.decides.effect)},
+                               {"group", is.one_of(groups, use.decides.group)},
+                               {"window", is.number(use.decides.window)},
+                               {"slo_time", is.number(use.decides.slo_time)},
+                               {"statement_timeout", is.number(use.statement_timeout)},
+                               {"importance", is.number(use.decides.importance)},
+                               {"tardy", is.number(use.decides.tardy)}});
+                })},
+               {"routes", is.list([&](const json &value, const std::string &at) {
+                    auto &each = to.routes.emplace_back();
+                    is.object(value, at,
+                              {{"host", is.text(each.host)},
+                               {"prefix", is.text(each.prefix)},
+                               {"pool", is.text(each.pool)},
+                               {"use_case", is.text(each.use_case)}});
+                })},
+               {"keys", is.list([&](const json &value, const std::string &at) {
+                    auto &key = to.keys.emplace_back();
+                    std::vector<std::pair<const char *, reader::member>> members = {
+                        {"id", is.text(key.id)}, {"note", is.text(key.note)}};
+                    if (secrets)
+                        members.emplace_back("hash", is.text(key.hash));
+                    is.object(value, at, members);
+                })}});
+    made.faults = std::move(is.faults);
+    return made;
+}
+
+// nlohmann's reader takes the last of two members of one name, and nests as deep as the stack.
+struct strict_text {
+    json value;
+    std::vector<fault> faults;
+};
+
+strict_text parse(std::string_view text) {
+    strict_text made;
+    std::vector<std::vector<std::string>> seen;
+    bool deep = false, twice = false;
+    const auto look = [&](int depth, json::parse_event_t event, json &value) {
+        deep = deep || depth > most_depth;
+        if (event == json::parse_event_t::object_start)
+            seen.emplace_back();
+        else if (event == json::parse_event_t::object_end)
+            seen.pop_back();
+        else if (event == json::parse_event_t::key) {
+            auto &names = seen.back();
+            const auto name = value.get<std::string>();
+            if (std::find(names.begin(), names.end(), name) != names.end() && !std::exchange(twice, true))
+                made.faults.push_back({"/" + name, "stands twice in one object"});
+            names.push_back(name);
+        }
+        return !deep;
+    };
+    try {
+        made.value = json::parse(text, look);
+        if (deep)
+            made.faults.push_back({"", "is nested too deep"});
+    } catch (const json::exception &bad) {
+        made.faults.push_back({"", std::string("is no JSON: ") + bad.what()});
+    }
+    return made;
+}
+
+} // namespace
+
+std::string to_json(const tenant &of, bool secrets) {
+    return value_of(of, secrets).dump();
+}
+
+read_tenant from_json(std::string_view text, bool secrets) {
+    auto from = parse(text);
+    if (!from.faults.empty())
+        return {{}, std::move(from.faults)};
+    return of_value(from.value, secrets);
+}
+
+read_tenant patched(const tenant &from, std::string_view patch) {
+    auto with = parse(patch);
+    if (with.faults.empty() && !with.value.is_object())
+        with.faults.push_back({"", "is no object"});
+    if (!with.faults.empty())
+        return {{}, std::move(with.faults)};
+    if (with.value.contains("keys")) // their secrets never leave, so a list of them cannot come back whole
+        return {{}, {{"/keys", "are changed one by one"}}};
+    json value = value_of(from, true);
+    value.merge_patch(with.value);
+    return of_value(value, true);
+}
+
+} // namespace harrierpass::tenants
