--- a/src/admin/api.cpp
+++ b/src/admin/api.cpp
@@ -31,6 +31,7 @@
 using tenants::tenant_set;
 
 constexpr std::size_t usual_page = 100, most_page = 1000; // entries
+constexpr std::size_t most_depth = 16;                    // of nested values; a transaction's nest six deep
 constexpr std::size_t most_steps = 10000;                 // of a transaction
 
 const char *title_of(int status) {
@@ -92,6 +93,27 @@
     return {};
 }
 
+// Guards the stack of a small thread against values that nest without end.
+bool nests_deep(std::string_view text) {
+    std::size_t depth = 0;
+    bool quoted = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char each = text[i];
+        if (quoted) {
+            i += each == '\\';
+            quoted = each != '"';
+        } else if (each == '"') {
+            quoted = true;
+        } else if (each == '[' || each == '{') {
+            if (++depth > most_depth)
+                return true;
+        } else if ((each == ']' || each == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return false;
+}
+
 // The segments behind {name} and {id}, where the path is of that form.
 bool follows(std::string_view form, std::string_view path, std::string &name, std::string &id) {
     while (!form.empty() && !path.empty()) {
@@ -179,7 +201,14 @@
 
 // The name is public; only the secret's hash is compared, and for a name that nobody has one is compared,
 // too.
-const operator_account *api::who(const std::string &token) const {
+const operator_account *api::who(const api_request &asked) const {
+    if (!asked.certified.empty()) {
+        for (const auto &each : operators_)
+            if (each.name == asked.certified)
+                return &each;
+        return nullptr;
+    }
+    const std::string &token = asked.token;
     const auto dot = token.find('.');
     const std::string name = token.substr(0, dot),
                       secret = dot == std::string::npos ? "" : token.substr(dot + 1);
@@ -193,9 +222,9 @@
 }
 
 api_answer api::answer(const api_request &asked) {
-    const operator_account *const by = who(asked.token);
+    const operator_account *const by = who(asked);
     if (by == nullptr)
-        return problem(401, "no operator has this token", "no_token");
+        return problem(401, "no operator has this token or certificate", "no_token");
     const auto mark = asked.target.find('?');
     const std::string path = asked.target.substr(0, mark);
     bool known = false;
@@ -222,6 +251,9 @@
             if (!one.if_match)
                 return problem(412, "If-Match is none of our ETags", "if_match");
         }
+        if (nests_deep(asked.body))
+            return problem(422, "the change is refused, and nothing has changed", "refused",
+                           {{"", "is nested too deep"}});
         return (this->*each.made)(one);
     }
     return known ? problem(405, "this place has no " + asked.method, "bad_method")
--- a/src/admin/api.hpp
+++ b/src/admin/api.hpp
@@ -24,7 +24,8 @@
 
 struct api_request {
     std::string method, target;
-    std::string token; // "NAME.SECRET", of Authorization: Bearer
+    std::string token;     // "NAME.SECRET", of Authorization: Bearer
+    std::string certified; // an operator's name, of a certificate that was verified: then no token is needed
     std::string if_match, if_none_match, idempotency_key, body;
 };
 
@@ -51,7 +52,7 @@
     static std::span<const call> calls();
 
 private:
-    const operator_account *who(const std::string &token) const;
+    const operator_account *who(const api_request &asked) const;
     api_answer version(const asking &);
     api_answer list(const asking &);
     api_answer read(const asking &);
--- /dev/null
+++ b/src/hosted/admin_port.cpp
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "hosted/admin_port.hpp"
+
+#include "net/http.hpp"
+
+#include <cerrno>
+#include <system_error>
+
+namespace harrierpass::hosted {
+namespace {
+
+constexpr double look = 0.1; // s between looks whether it is over
+constexpr double pause = 0.005;
+
+bool is_loopback(const address &where) {
+    const auto text = to_text(where);
+    return text.starts_with("127.") || text.starts_with("::1:");
+}
+
+std::string head_of(const admin::api_answer &of, bool keeps) {
+    std::string head =
+        "HTTP/1.1 " + std::to_string(of.status) + (of.status < 400 ? " OK\r\n" : " Refused\r\n");
+    put_field(head, "Content-Type", of.type);
+    put_field(head, "Content-Length", std::to_string(of.body.size()));
+    put_field(head, "Cache-Control", "no-store"); // an answer may hold a secret
+    if (!of.etag.empty())
+        put_field(head, "ETag", of.etag);
+    if (!of.location.empty())
+        put_field(head, "Location", of.location);
+    if (of.status == 401)
+        put_field(head, "WWW-Authenticate", "Bearer");
+    if (!keeps)
+        put_field(head, "Connection", "close");
+    return head += "\r\n";
+}
+
+admin::api_answer refusal(int status, const char *why) {
+    return {status,
+            "{\"type\":\"about:blank\",\"status\":" + std::to_string(status) + ",\"detail\":\"" + why + "\"}",
+            "application/problem+json",
+            "",
+            "",
+            why};
+}
+
+} // namespace
+
+admin_port::admin_port(admin::api &calls, const identity *as, const address &where, log &lines,
+                       const admin_limits &most)
+    : api_(calls), identity_(as), log_(lines), most_(most) {
+    // Guards tokens against a network that reads along.
+    if (as == nullptr && !is_loopback(where))
+        throw bad_identity(to_text(where) + ": administration without TLS is for loopback only");
+    socket_ = listen_on(where);
+    if (!socket_)
+        throw std::system_error(errno, std::generic_category(), "cannot listen on " + to_text(where));
+    at_ = local_address(socket_);
+    acceptor_.emplace([this] { run(); });
+}
+
+admin_port::~admin_port() {
+    over_ = true;
+    call(acceptor_->id());
+    acceptor_.reset();
+}
+
+void admin_port::run() {
+    while (!over_) {
+        pollfd in{socket_.get(), POLLIN, 0};
+        if (open_ >= most_.connections) {
+            wait_on({}, pause);
+            continue;
+        }
+        wait_on({&in, 1}, look);
+        address peer;
+        tcp_socket one = accept_on(socket_, peer);
+        if (!one)
+            continue;
+        ++open_;
+        const auto shared = std::make_shared<tcp_socket>(std::move(one));
+        if (!start_detached([this, shared, from = to_text(peer)] {
+                serve(std::move(*shared), from);
+                --open_;
+            })) {
+            count("no_thread");
+            --open_;
+        }
+    }
+    while (open_ > 0)
+        wait_on({}, pause);
+}
+
+void admin_port::serve(tcp_socket socket, const std::string &peer) {
+    std::string reason = "failed", who;
+    std::uint64_t requests = 0;
+    try {
+        stream with(std::move(socket), identity_ != nullptr ? identity_->now() : nullptr);
+        if (!with.greet(most_.greeting)) {
+            reason = "no_greeting";
+            log_.info("admin-greeting peer=", peer, " error=\"", with.why(), '"');
+        } else {
+            reason = talk(with, who, requests);
+            with.finish();
+        }
+    } catch (const std::bad_alloc &) {
+        reason = "no_memory";
+    } catch (const std::exception &failed) {
+        log_.error("admin-failed peer=", peer, " error=", failed.what());
+    }
+    count(reason);
+    log_.info("connection-end side=admin peer=", peer, " requests=", requests, " reason=", reason);
+}
+
+const char *admin_port::talk(stream &with, std::string &who, std::uint64_t &requests) {
+    who = with.caller();
+    const auto answer = [&](const admin::api_answer &made, bool keeps) {
+        count(made.why);
+        return with.write(head_of(made, keeps) + made.body, most_.answer);
+    };
+    std::vector<char> buffer; // grows with what comes, and goes with the request
+    std::string rest;
+    for (;;) {
+        buffer.assign(std::max<std::size_t>(buffer_size, rest.size()), '\0');
+        std::copy(rest.begin(), rest.end(), buffer.begin());
+        auto reader = std::make_unique<http_reader>(buffer, http_reader::side::request, rest.size());
+        auto state = reader->look();
+        bool large = buffer.size() > buffer_size;
+        double until = steady_now() + (rest.empty() ? most_.idle : most_.request);
+        bool begun = !rest.empty();
+        while (state == http_reader::state::more || (state == http_reader::state::too_large && !large)) {
+            if (state == http_reader::state::too_large) {
+                // Larger than most: once more from the start in as much room as a body may have.
+                const auto came = static_cast<std::size_t>(reader->room().data() - buffer.data());
+                if (reader->head().method.empty()) // a head without end
+                    break;
+                large = true;
+                buffer.resize(head_limit + most_.body);
+                reader = std::make_unique<http_reader>(buffer, http_reader::side::request, came);
+                state = reader->look();
+                continue;
+            }
+            if (over_ && !begun)
+                return "ends";
+            const double left = until - steady_now();
+            if (left <= 0) {
+                if (!begun)
+                    return "idle";
+                answer(refusal(408, "too_slow"), false);
+                return "too_slow";
+            }
+            const auto room = reader->room();
+            const long got = with.read(room.data(), room.size());
+            if (got == -2) {
+                with.wait(std::min(left, look));
+                continue;
+            }
+            if (got <= 0)
+                return got == 0 ? (begun ? "caller_cut" : "caller_closed") : "caller_reset";
+            if (!std::exchange(begun, true))
+                until = steady_now() + most_.request;
+            state = reader->took(static_cast<std::size_t>(got));
+        }
+        if (state != http_reader::state::whole) {
+            const bool big = state == http_reader::state::too_large;
+            answer(refusal(big ? 413 : 400, big ? "too_large" : "malformed"), false);
+            return big ? "too_large" : "malformed";
+        }
+        ++requests;
+        const auto &head = reader->head();
+        // Guards against what two readers would take for different callers, or different writes.
+        for (const std::string_view each : {"Authorization", "If-Match", "If-None-Match", "Idempotency-Key"})
+            if (head.count(each) > 1) {
+                answer(refusal(400, "field_twice"), false);
+                return "field_twice";
+            }
+        admin::api_request asked;
+        asked.method = head.method;
+        asked.target = head.target;
+        const auto authorization = head.value("Authorization");
+        if (authorization.size() > 7 && same_name(authorization.substr(0, 7), "Bearer "))
+            asked.token = authorization.substr(7);
+        asked.certified = who;
+        asked.if_match = head.value("If-Match");
+        asked.if_none_match = head.value("If-None-Match");
+        asked.idempotency_key = head.value("Idempotency-Key");
+        asked.body = reader->body();
+        const auto made = api_.answer(asked);
+        if (asked.method != "GET")
+            log_.info("admin-call method=", asked.method,
+                      " place=", head.target.substr(0, head.target.find('?')), " status=", made.status,
+                      " result=", made.why);
+        const bool keeps = head.keeps_alive() && !over_;
+        if (!answer(made, keeps))
+            return "answer_cut";
+        if (!keeps)
+            return "answered_last";
+        rest = std::string(reader->rest());
+    }
+}
+
+void admin_port::count(const std::string &what) {
+    const std::lock_guard hold(lock_);
+    ++counted_[what];
+}
+
+std::map<std::string, std::uint64_t> admin_port::counted() const {
+    const std::lock_guard hold(lock_);
+    return counted_;
+}
+
+} // namespace harrierpass::hosted
--- /dev/null
+++ b/src/hosted/admin_port.hpp
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+// The administration API on a listener of its own: HTTP/1.1, with TLS or, where none is set, on loopback
+// only. A thread for each connection, few of them, and limits on all that a caller may take of time and
+// memory.
+#pragma once
+
+#include "admin/api.hpp"
+#include "base/log.hpp"
+#include "hosted/tls.hpp"
+#include "net/threads.hpp"
+
+#include <atomic>
+#include <map>
+#include <optional>
+
+namespace harrierpass::hosted {
+
+struct admin_limits {
+    std::size_t connections = 32;         // more wait to be accepted
+    std::size_t body = 8UL * 1024 * 1024; // bytes; some 10,000 tenants
+    double greeting = 5, request = 10,
+           idle = 30;   // s: for a handshake; for a request to come whole; between two
+    double answer = 10; // s for a caller to take it
+};
+
+class admin_port {
+public:
+    // Throws std::system_error where it cannot listen, bad_identity for a plain listener that is not on
+    // loopback. `as` may be null: plain.
+    admin_port(admin::api &calls, const identity *as, const address &where, log &lines,
+               const admin_limits &most = {});
+    ~admin_port(); // answers what is in hand
+    admin_port(const admin_port &) = delete;
+    admin_port &operator=(const admin_port &) = delete;
+
+    address at() const { return at_; }
+    // How often each thing happened, by its word in the log.
+    std::map<std::string, std::uint64_t> counted() const;
+
+private:
+    void run();
+    void serve(tcp_socket socket, const std::string &peer);
+    const char *talk(stream &with, std::string &who, std::uint64_t &requests);
+    void count(const std::string &what);
+
+    admin::api &api_;
+    const identity *const identity_;
+    log &log_;
+    const admin_limits most_;
+    tcp_socket socket_;
+    address at_;
+    std::atomic<bool> over_ = false;
+    std::atomic<std::size_t> open_ = 0;
+    mutable std::mutex lock_;
+    std::map<std::string, std::uint64_t> counted_;
+    std::optional<joined_thread> acceptor_;
+};
+
+} // namespace harrierpass::hosted
--- /dev/null
+++ b/src/hosted/tls.hpp
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+// TLS 1.3 (RFC 8446) for our listeners, by OpenSSL: identities that are changed while connections go on, and
+// a connection that reads and writes within time limits on the proxy's threads.
+#pragma once
+
+#include "net/sockets.hpp"
+
+#include <memory>
+#include <mutex>
+#include <stdexcept>
+
+struct ssl_ctx_st;
+struct ssl_st;
+
+namespace harrierpass::hosted {
+
+// A certificate, key or authority that cannot be used: the message names the file and the cause.
+struct bad_identity : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct identity_files {
+    std::string certificate, key; // PEM; the certificate with its chain
+    std::string callers;          // PEM of the authority of callers' certificates; empty: none are asked for
+};
+
+// What a listener shows. A new one holds for connections from then on; those that are open keep theirs.
+class identity {
+public:
+    explicit identity(identity_files from) : files_(std::move(from)), now_(load(files_)) {}
+    // Reads the files again. Throws bad_identity, also for a certificate that is out of its time or does not
+    // fit its key, and then the one before goes on.
+    void renew();
+    std::shared_ptr<ssl_ctx_st> now() const;
+
+private:
+    static std::shared_ptr<ssl_ctx_st> load(const identity_files &from);
+    const identity_files files_;
+    mutable std::mutex lock_;
+    std::shared_ptr<ssl_ctx_st> now_;
+};
+
+// One connection, with TLS or, for loopback and tests, without.
+class stream {
+public:
+    stream(tcp_socket socket, std::shared_ptr<ssl_ctx_st> as); // `as` may be empty: plain
+    ~stream();
+    stream(const stream &) = delete;
+    stream &operator=(const stream &) = delete;
+
+    bool greet(double limit); // the handshake; false: it failed, and why() says how
+    // As net's: bytes; 0: the other side ended; -1: broken; -2: nothing there now.
+    long read(char *to, std::size_t size);
+    bool write(std::string_view text, double limit);
+    bool wait(double limit); // for bytes, or an end; false: none in time, or this thread was called
+    void finish();           // says that nothing more comes
+    const std::string &why() const { return why_; }
+    // The common name of a caller's certificate that its authority stands for; empty: there is none.
+    std::string caller() const;
+
+private:
+    bool blocked(int got, double until); // waits for what TLS wants next; false: it is over
+    tcp_socket socket_;
+    std::shared_ptr<ssl_ctx_st> as_;
+    ssl_st *tls_ = nullptr;
+    std::string why_;
+};
+
+} // namespace harrierpass::hosted
--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -4,6 +4,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "admin/api.hpp"
 #include "admin/secrets.hpp"
+#include "hosted/admin_port.hpp"
+#include "net/http.hpp"
 #include "tenants/limits.hpp"
 #include "tenants/text.hpp"
 
@@ -16,9 +18,14 @@
 #include <fstream>
 #include <malloc.h>
 #include <nlohmann/json.hpp>
+#include <openssl/pem.h>
+#include <openssl/ssl.h>
+#include <openssl/x509v3.h>
 #include <queue>
 #include <random>
+#include <sstream>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -639,6 +646,12 @@
     CHECK(first("{\"name\":\"t1\",\"routes\":[{\"host\":\"a.org\",\"path\":\"/\"}]}") ==
           "#/routes/0/path is not known");
     CHECK(first("{\"name\":\"\xff\"}").starts_with("# is no JSON"));
+    for (const auto &each :
+         admin::api::calls()) { // values that nest without end, in a thread with a small stack
+        admin::api_request with;
+        with.body = "{\"tenants\":" + std::string(300000, '[') + std::string(300000, ']') + "}";
+        CHECK(of.ask(each.method, each.path, {}, with).status >= 400);
+    }
     std::minstd_rand from(5);
     for (int i = 0; i < 3000; ++i) { // damaged ones: an answer each, and no version
         std::string text = good;
@@ -759,6 +772,217 @@
     }
 }
 
+// ---- The listener
+
+using X509_ptr = std::shared_ptr<X509>;
+using key_ptr = std::shared_ptr<EVP_PKEY>;
+
+// A certificate of its own making, or of another one's, on disk; `from` and `to`: s from now.
+struct paper {
+    paper(const std::string &folder_at, const std::string &name, long from, long to,
+          const paper *by = nullptr)
+        : certificate(folder_at + "/" + name + ".pem"), key(folder_at + "/" + name + ".key"),
+          own_key(EVP_EC_gen("P-256"), EVP_PKEY_free), own(X509_new(), X509_free) {
+        static long serial = 0;
+        X509_set_version(own.get(), 2);
+        ASN1_INTEGER_set(X509_get_serialNumber(own.get()), ++serial);
+        X509_gmtime_adj(X509_getm_notBefore(own.get()), from);
+        X509_gmtime_adj(X509_getm_notAfter(own.get()), to);
+        X509_set_pubkey(own.get(), own_key.get());
+        X509_NAME_add_entry_by_txt(X509_get_subject_name(own.get()), "CN", MBSTRING_ASC,
+                                   reinterpret_cast<const unsigned char *>(name.c_str()), -1, -1, 0);
+        X509_set_issuer_name(own.get(), X509_get_subject_name((by != nullptr ? by->own : own).get()));
+        if (by == nullptr) {
+            X509V3_CTX with;
+            X509V3_set_ctx(&with, own.get(), own.get(), nullptr, nullptr, 0);
+            X509_EXTENSION *const is =
+                X509V3_EXT_conf_nid(nullptr, &with, NID_basic_constraints, "critical,CA:TRUE");
+            X509_add_ext(own.get(), is, -1);
+            X509_EXTENSION_free(is);
+        }
+        X509_sign(own.get(), (by != nullptr ? by->own_key : own_key).get(), EVP_sha256());
+        const std::unique_ptr<FILE, int (*)(FILE *)> one(std::fopen(certificate.c_str(), "w"), std::fclose),
+            two(std::fopen(key.c_str(), "w"), std::fclose);
+        PEM_write_X509(one.get(), own.get());
+        PEM_write_PrivateKey(two.get(), own_key.get(), nullptr, nullptr, 0, nullptr, nullptr);
+    }
+    std::string certificate, key;
+    key_ptr own_key;
+    X509_ptr own;
+};
+
+// A caller with TLS, or without, on blocking sockets.
+struct caller {
+    explicit caller(const address &to, bool secure = true, const paper *shows = nullptr,
+                    int version = TLS1_3_VERSION)
+        : socket(dial(to, 5)) {
+        const timeval most{20, 0};
+        setsockopt(socket.get(), SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
+        if (!secure)
+            return;
+        with.reset(SSL_CTX_new(TLS_client_method()), SSL_CTX_free);
+        SSL_CTX_set_max_proto_version(with.get(), version);
+        if (shows != nullptr) {
+            SSL_CTX_use_certificate_file(with.get(), shows->certificate.c_str(), SSL_FILETYPE_PEM);
+            SSL_CTX_use_PrivateKey_file(with.get(), shows->key.c_str(), SSL_FILETYPE_PEM);
+        }
+        tls.reset(SSL_new(with.get()), SSL_free);
+        SSL_set_fd(tls.get(), socket.get());
+        greeted = SSL_connect(tls.get()) == 1;
+    }
+    void send(const std::string &text) {
+        if (tls)
+            SSL_write(tls.get(), text.data(), static_cast<int>(text.size()));
+        else
+            write_all(socket, text, {}, 5);
+    }
+    std::string read() { // one answer, or what came before the end
+        std::string got;
+        for (std::array<char, 16384> part{};;) {
+            if (const auto head = got.find("\r\n\r\n"); head != std::string::npos) {
+                const auto length = got.find("Content-Length: ");
+                if (length < head && got.size() >= head + 4 + std::stoul(got.substr(length + 16)))
+                    return got;
+            }
+            const long size = tls ? SSL_read(tls.get(), part.data(), static_cast<int>(part.size()))
+                                  : ::recv(socket.get(), part.data(), part.size(), 0);
+            if (size <= 0)
+                return got;
+            got.append(part.data(), static_cast<std::size_t>(size));
+        }
+    }
+    std::string status() { return read().substr(9, 3); }
+    std::string ask(const std::string &method, const std::string &target, const std::string &token,
+                    const std::string &body = "") {
+        send(method + " " + target + " HTTP/1.1\r\nHost: x\r\n" +
+             (token.empty() ? "" : "Authorization: Bearer " + token + "\r\n") +
+             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        return read();
+    }
+    std::string issuer() const { // of the certificate that the service shows
+        const std::unique_ptr<X509, decltype(&X509_free)> theirs(SSL_get1_peer_certificate(tls.get()),
+                                                                 X509_free);
+        std::array<char, 100> text{};
+        X509_NAME_get_text_by_NID(X509_get_subject_name(theirs.get()), NID_commonName, text.data(),
+                                  text.size());
+        return text.data();
+    }
+    tcp_socket socket;
+    std::shared_ptr<SSL_CTX> with;
+    std::shared_ptr<SSL> tls;
+    bool greeted = false;
+};
+
+TEST_CASE("the listener: TLS 1.3 only, certificates that rotate, callers by certificate or token") {
+    const folder at;
+    service of(at.db());
+    const paper root(at.at, "authority", -10, 1000), served(at.at, "served", -10, 1000, &root),
+        eye(at.at, "eye", -10, 1000, &root), stranger(at.at, "root", -10, 1000),
+        late(at.at, "late", -1000, -10, &root);
+    std::ostringstream text;
+    log lines(text, level::info);
+    hosted::identity shown({served.certificate, served.key, ""});
+    const auto any = *parse_address("127.0.0.1:0");
+    {
+        const hosted::admin_port port(of.calls, &shown, any, lines);
+        caller one(port.at());
+        REQUIRE(one.greeted);
+        CHECK(one.issuer() == "served");
+        CHECK(one.ask("GET", "/v1/version", "").substr(9, 3) == "401");
+        CHECK(one.ask("GET", "/v1/version", "root.root-secret").substr(9, 3) == "200");
+        CHECK(one.ask("PUT", "/v1/tenants/t1", "root.root-secret", body_of("t1").dump()).substr(9, 3) ==
+              "201");
+        CHECK_FALSE(caller(port.at(), true, nullptr, TLS1_2_VERSION).greeted);
+        caller plain(port.at(), false);
+        plain.send("GET /v1/version HTTP/1.1\r\n\r\n");
+        CHECK(plain.read().find("HTTP/1.1 200") == std::string::npos);
+        // Another certificate, under the connection that is open.
+        const paper next(at.at, "served", -10, 1000);
+        shown.renew();
+        CHECK(one.ask("GET", "/v1/version", "root.root-secret").substr(9, 3) == "200");
+        CHECK(caller(port.at()).greeted);
+        // One that is no good leaves the one before in force.
+        std::ofstream(served.certificate) << "no certificate";
+        CHECK_THROWS_AS(shown.renew(), hosted::bad_identity);
+        CHECK(caller(port.at()).greeted);
+    }
+    CHECK(text.str().find("root-secret") == std::string::npos);
+    CHECK(text.str().find("reason=no_greeting") != std::string::npos);
+    CHECK_THROWS_WITH_AS(hosted::identity({late.certificate, late.key, ""}),
+                         doctest::Contains("late.pem: its time is over"), hosted::bad_identity);
+    CHECK_THROWS_WITH_AS(hosted::identity({eye.certificate, late.key, ""}),
+                         doctest::Contains("late.key: is no key of"), hosted::bad_identity);
+    CHECK_THROWS_WITH_AS(hosted::admin_port(of.calls, nullptr, *parse_address("0.0.0.0:0"), lines),
+                         doctest::Contains("for loopback only"), hosted::bad_identity);
+
+    hosted::identity mutual({eye.certificate, eye.key, root.certificate});
+    const hosted::admin_port port(of.calls, &mutual, any, lines);
+    caller known(port.at(), true, &eye);
+    CHECK(known.ask("GET", "/v1/tenants/t1", "").substr(9, 3) == "200");
+    CHECK(known.ask("DELETE", "/v1/tenants/t1", "").substr(9, 3) == "403"); // it may only read
+    CHECK(known.ask("DELETE", "/v1/tenants/t1", "root.root-secret").substr(9, 3) ==
+          "403"); // a token adds nothing
+    // Nobody stands for these; in TLS 1.3 a caller learns it with its first read.
+    for (const paper *each : {&stranger, &late, static_cast<const paper *>(nullptr)}) {
+        caller unknown(port.at(), true, each);
+        CHECK(unknown.ask("GET", "/v1/version", "root.root-secret").empty());
+    }
+    CHECK(of.all.now()->find("t1")->is == tenants::state::active);
+}
+
+TEST_CASE("the listener: large, damaged, slow and many") {
+    const folder at;
+    service of(at.db());
+    std::ostringstream text;
+    log lines(text, level::info);
+    hosted::admin_limits most;
+    most.request = 0.3;
+    most.idle = 0.5;
+    most.connections = 4;
+    most.body = 300000;
+    const auto port =
+        std::make_unique<hosted::admin_port>(of.calls, nullptr, *parse_address("127.0.0.1:0"), lines, most);
+    const auto put = [&](std::size_t note) {
+        auto body = body_of("t1");
+        body["use_cases"][0]["name"] = std::string(note, 'a');
+        return caller(port->at(), false)
+            .ask("PUT", "/v1/tenants/t1", "root.root-secret", body.dump())
+            .substr(9, 3);
+    };
+    CHECK(put(5) == "422"); // a route's use case has another name; it was read
+    CHECK(put(200000) == "422");
+    CHECK(put(400000) == "413");
+    for (const char *bad :
+         {"GET /v1/version HTTP/1.1\r\nA : b\r\n\r\n", "\x16\x03\x01 hello\r\n\r\n",
+          "PUT /v1/tenants/t1 HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+        caller one(port->at(), false);
+        one.send(bad);
+        CHECK(one.status() == "400");
+    }
+    caller twice(port->at(), false);
+    twice.send("GET /v1/version HTTP/1.1\r\nAuthorization: Bearer a\r\nAuthorization: Bearer b\r\n\r\n");
+    CHECK(twice.status() == "400");
+    caller slow(port->at(), false);
+    slow.send("GET /v1/ver");
+    CHECK(slow.status() == "408");
+    caller silent(port->at(), false);
+    CHECK(silent.read().empty()); // ended, in its time
+    std::vector<std::unique_ptr<caller>> many;
+    for (int i = 0; i < 12; ++i)
+        many.push_back(std::make_unique<caller>(port->at(), false));
+    for (auto &each : many) // all are served, four at a time
+        each->send("GET /v1/version HTTP/1.1\r\nAuthorization: Bearer root.root-secret\r\nConnection: "
+                   "close\r\n\r\n");
+    for (auto &each : many)
+        CHECK(each->status() == "200");
+    const auto counted = port->counted();
+    CHECK(counted.at("too_large") == 2); // the answer and the end
+    CHECK(counted.at("malformed") == 6);
+    CHECK(counted.at("too_slow") == 2);
+    CHECK(counted.at("idle") == 1);
+    CHECK(of.all.now()->version() == 0);
+}
+
 // Long, and of figures: harrierpass_hosted_tests -tc="*thousand*" --no-skip
 TEST_CASE("ten thousand tenants" * doctest::skip()) {
     const auto seconds = [] {
