--- /dev/null
+++ b/src/proxy/messages.hpp
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+// The platform's protocol as messages: what a client's request asks, how it goes on to a server, what a
+// server's answer means, and the head of our own. No sockets and no state.
+#pragma once
+
+#include "net/http.hpp"
+#include "proxy/settings.hpp"
+
+namespace harrierpass::proxy {
+
+// A request as the router wants it; its index and its end are the caller's to set.
+struct understood {
+    new_query made;
+    double patience = 0;         // s that its client waits, and no more than we do
+    const char *fault = nullptr; // a line for the client where it is no query
+};
+understood understand(const http_head &asked, const configuration &given);
+
+// The query as it goes to a server: the protocol's fields unchanged, those of the hop written anew. `left`: s
+// that we will wait.
+std::string forwarded(const http_reader &asked, double left);
+
+// What a server's whole answer says of its execution. `aside`: servers do not fetch what they lack but say
+// so, and the router turns to the origin.
+outcome outcome_of(const http_head &answer, bool aside);
+bool was_fetched(const http_head &answer); // the server had to ask the origin first
+
+// Fields of a server's answer that go on to the client.
+std::string passed_on(const http_head &answer);
+// "Retry-After" where there is something to say; empty: nothing.
+std::string come_back_in(double seconds);
+// The head of an answer of ours, with the fields given.
+std::string answer_head(int status, std::string_view fields, std::size_t size, bool keeps);
+
+} // namespace harrierpass::proxy
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -2,10 +2,10 @@
 #include "proxy/query.hpp"
 
 #include "net/exchange.hpp"
+#include "proxy/messages.hpp"
 
 #include <algorithm>
 #include <array>
-#include <cstdio>
 #include <cstring>
 #include <sys/socket.h>
 
@@ -21,18 +21,10 @@
 constexpr double stall_share =
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
 constexpr double linger_limit = 0.2; // s in which a client may still read why it was turned off
-constexpr double longest_wait =
-    60; // s; a client that says more is not waited for, and what is kept of it is bounded
-constexpr int linger_reads = 8;    // buffers read away in that time; more would cost more than it is worth
-constexpr index most_refused = 16; // on a connection; then it ends, as its client does not learn
+constexpr int linger_reads = 8;      // buffers read away in that time; more would cost more than it is worth
+constexpr index most_refused = 16;   // on a connection; then it ends, as its client does not learn
 constexpr double refuse_pause = 0.005; // s before what follows is read; guards the CPU against the same again
 
-void append_number(std::string &to, double value, const char *form) {
-    std::array<char, 40> text{};
-    std::snprintf(text.data(), text.size(), form, value);
-    to += text.data();
-}
-
 // What one execution came to; its answer, if whole, is in the reader.
 struct execution_end {
     outcome result;
@@ -57,9 +49,7 @@
     const char *read(http_reader &asked);
     const char *refuse_text(int status, const char *reason);
     const char *refuse(int status, string_view fields, string_view why);
-    const char *understand(const http_head &asked, new_query &to);
     execution_end execute(const orders &now, const http_reader &asked, http_reader &answer);
-    std::string forwarded(const http_reader &asked) const;
     const char *answer(int status, string_view fields, string_view body);
     double stop_by() const { return with_.drain_at.load() + with_.last_answer; }
     double patience() const { return std::min(statement_end_, stop_by()); }
@@ -96,11 +86,13 @@
 
     if (asked.head().target == "/_health")
         return done(answer(with_.ready() && !with_.draining() ? 200 : 503, {}, {}));
-    new_query made;
     if (asked.head().method != "GET" && asked.head().method != "PUT")
         return done(refuse(405, "Allow: GET, PUT\r\n", "a query is a GET or a PUT\n"));
-    if (const char *const fault = understand(asked.head(), made))
-        return done(refuse(400, {}, fault));
+    auto wanted = understand(asked.head(), with_.given);
+    if (wanted.fault != nullptr)
+        return done(refuse(400, {}, wanted.fault));
+    wanted.made.statement_end = statement_end_ = std::min(desk.now() + wanted.patience, stop_by());
+    stall_limit_ = with_.given.decisions.use_cases[wanted.made.use_case].slo_time * stall_share;
     // Guards "no effect twice" and whoever asked first: two with one id cannot be told apart at the servers.
     if (!(id_ = with_.ids.take(std::string(asked.head().value("X-Request-Id")))))
         return done(refuse(409, {}, "a query with this X-Request-Id is open\n"));
@@ -108,14 +100,12 @@
     if (from_.crowded) {
         count.add(count::crowded_out);
         keeps_ = false;
-        std::string back = "Retry-After: ";
-        append_number(back, with_.given.decisions.allow.max_advice, "%.3f\r\n");
-        return done(answer(503, with_.given.decisions.allow.max_advice > 0 ? back : "", {}));
+        return done(answer(503, come_back_in(with_.given.decisions.allow.max_advice), {}));
     }
 
     buffer_pool::lease space; // for the server's answer, from the first execution on
     arrived_ = true;
-    desk.arrived(ticket_, made);
+    desk.arrived(ticket_, wanted.made);
     for (bool gone = false;;) {
         const orders now = desk.look(ticket_);
         if (now.what == orders::kind::reject || now.what == orders::kind::abort) {
@@ -128,9 +118,7 @@
                 return done(answer(desk.now() < statement_end_ - 0.1 ? 502 : 504, {}, {}));
             }
             count.add(count::rejected);
-            std::string back = "Retry-After: ";
-            append_number(back, now.come_back, "%.3f\r\n");
-            return done(answer(503, now.come_back > 0 ? back : "", {}));
+            return done(answer(503, come_back_in(now.come_back), {}));
         }
         // Guards against a planned end that would cut it off, and against a held query that nobody ends.
         if (desk.now() >= patience() + own_margin) {
@@ -158,21 +146,15 @@
         if (end.given_up) {
             desk.dropped(ticket_, end.result);
         } else {
-            const string_view note = head.value("X-Cache");
-            const bool fetched = same_name(note, "miss") || same_name(note, "pending");
             gone = gone || !from_.socket;
-            desk.ended(ticket_, end.result, fetched);
+            desk.ended(ticket_, end.result, was_fetched(head));
         }
         gone = gone || !from_.socket;
         if (gone && desk.finished(ticket_))
             return "client_left";
         if (end.result == outcome::completed) {
             count.add(count::completed);
-            std::string fields;
-            for (const auto &each : head.fields)
-                if (!is_hop_field(head, each.name))
-                    put_field(fields, each.name, each.value);
-            return done(answer(200, fields, answered.body()));
+            return done(answer(200, passed_on(head), answered.body()));
         }
     }
 }
@@ -233,65 +215,6 @@
     return ends;
 }
 
-// The router's view of a query; else what is wrong with it.
-const char *life::understand(const http_head &asked, new_query &to) {
-    // Guards against what two readers would take for different queries.
-    for (const string_view each : {"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline", "Idempotency-Key"})
-        if (asked.count(each) > 1)
-            return "one of the fields that name the query stands twice\n";
-    if (asked.value("X-Request-Id").empty())
-        return "no X-Request-Id\n";
-    const string_view path = asked.target.substr(1, asked.target.find('?') - 1);
-    string_view name = asked.value("X-Class");
-    if (name.empty())
-        name = path.substr(0, path.find('/'));
-    to.use_case = place_of(with_.given.use_cases, name);
-    if (to.use_case == none)
-        return "no use case of that name\n";
-    const auto slash = path.rfind('/');
-    const string_view key = slash == string_view::npos ? string_view{} : path.substr(slash + 1);
-    stall_limit_ = with_.given.decisions.use_cases[to.use_case].slo_time * stall_share;
-    to.has_key = !key.empty();
-    to.key = ring_hash(key); // the text's own, so that it is the same at every proxy
-    to.tenant = place_of(with_.given.tenants, asked.value("X-Tenant"));
-    to.write = asked.method == "PUT";
-    const string_view limit = asked.value("X-Deadline");
-    const bool told = asked.count("X-Deadline") > 0;
-    const double seconds = told ? deadline_seconds(limit) : with_.given.statement_timeouts[to.use_case];
-    if (seconds < 0)
-        return "X-Deadline is no number like 480m or 480000u\n";
-    to.statement_end = statement_end_ =
-        std::min(with_.decides.now() + std::min(seconds, longest_wait), stop_by());
-    return nullptr;
-}
-
-// The query as it goes to a server: the protocol's fields unchanged, those of the hop written anew.
-std::string life::forwarded(const http_reader &asked) const {
-    const auto &head = asked.head();
-    std::string to;
-    to.reserve(512);
-    to.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
-    for (const auto &each : head.fields)
-        if (!is_hop_field(head, each.name) && !same_name(each.name, "X-Deadline"))
-            put_field(to, each.name, each.value);
-    to += "X-Deadline: ";
-    append_number(to, std::max(1.0, (statement_end_ - with_.decides.now()) * 1000), "%.0fm\r\n");
-    if (head.method == "PUT" || !asked.body().empty())
-        put_field(to, "Content-Length", std::to_string(asked.body().size()));
-    return to += "\r\n";
-}
-
-// `aside`: servers do not fetch what they lack but say so, and the router turns to the origin.
-outcome outcome_of(const http_head &answer, bool aside) {
-    const string_view note = answer.value("X-Cache");
-    if (answer.status == 200)
-        return outcome::completed;
-    if (aside && answer.status == 404 && (same_name(note, "miss") || same_name(note, "pending")))
-        return outcome::miss;
-    const bool never_began = answer.status == 503 || answer.status == 504;
-    return never_began && answer.value("X-Not-Run") == "1" ? outcome::queue_full : outcome::error;
-}
-
 // One execution at the server the router chose. Whatever fails before the query's last byte is written
 // never ran; after that it may have.
 execution_end life::execute(const orders &now, const http_reader &asked, http_reader &answer) {
@@ -305,7 +228,8 @@
     if (to.socket) {
         with_.count.add(count::sent);
         ++to.executions;
-        if (!write_all(to.socket, forwarded(asked), asked.body(), patience() - desk.now()))
+        if (!write_all(to.socket, forwarded(asked, statement_end_ - desk.now()), asked.body(),
+                       patience() - desk.now()))
             come.reason = "write_failed";
         else
             come = {outcome::timed_out, "timed_out"};
@@ -370,25 +294,9 @@
 }
 
 const char *life::answer(int status, string_view fields, string_view body) {
-    static constexpr std::array<std::pair<int, string_view>, 9> names = {{{200, "OK"},
-                                                                          {400, "Bad Request"},
-                                                                          {405, "Method Not Allowed"},
-                                                                          {408, "Request Timeout"},
-                                                                          {409, "Conflict"},
-                                                                          {413, "Content Too Large"},
-                                                                          {502, "Bad Gateway"},
-                                                                          {503, "Service Unavailable"},
-                                                                          {504, "Gateway Timeout"}}};
-    const auto name =
-        std::find_if(names.begin(), names.end(), [&](const auto &each) { return each.first == status; });
     keeps_ = keeps_ && !from_.last && !with_.closing();
     id_ = {}; // guards a client that uses it again as soon as it has the answer
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
-    head.append(name->second).append("\r\n").append(fields);
-    put_field(head, "Content-Length", std::to_string(body.size()));
-    if (!keeps_)
-        put_field(head, "Connection", "close");
-    head += "\r\n";
+    const std::string head = answer_head(status, fields, body.size(), keeps_);
     if (!write_all(from_.socket, head, body, write_limit)) {
         with_.count.add(count::answers_cut);
         return "answer_cut";
