A generator that is too slow is tested to void its run

Need: a run that the machine was too slow for must say so and not count. Change: a test asks for a million queries a second, and for a load that nobody answers.

--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -310,7 +310,7 @@
         run.rules.emplace_back(name_of(each), judge.broken(each));
     run.stories = judge.stories();
     whole_run::judge_lateness(run, asked);
-    if (run.completed == 0)
+    if (run.completed == 0 && run.void_because.empty())
         run.void_because = "no query was completed: is anybody there?";
     const auto count = static_cast<double>(std::max<std::uint64_t>(1, all.queries));
     made.rate = static_cast<double>(all.completed) / took;
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -474,6 +474,23 @@
     CHECK(run.none < run.queries / 20);
 }
 
+// More than any generator can send: the run says so, and does not count.
+TEST_CASE("a load that the machine is too slow for does not count") {
+    experiment given = made("");
+    given.load.rate = 1e6;
+    given.load.retries = 0;
+    given.length = 0.05;
+    load_options how;
+    how.to = {"127.0.0.1:1"}; // nobody is there, which costs the least
+    const auto fast = run_load(given, how);
+    CHECK(fast.run.void_because.starts_with("the machine was too slow"));
+    given.load.rate = 20;
+    given.length = 0.3;
+    const auto calm = run_load(given, how);
+    CHECK(calm.run.void_because == "no query was completed: is anybody there?");
+    CHECK(calm.run.broken() == 0); // what nobody took is not lost
+}
+
 TEST_CASE("the proxy on sockets, embedded, and a baseline as a process") {
     const std::string spoilt = fault("spoilt", "500ms", "for = \"3s\"\nservers = [0]\nfactor = 0.3");
     const auto embedded = on_sockets(spoilt, true);
