--- a/src/lab/plot.cpp
+++ b/src/lab/plot.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr double width = 860, left = 70, right = 20, top = 50, panel = 150, gap = 46; // px
+constexpr double shades = 8;          // of what a server has in hand
 constexpr std::size_t most_rows = 60; // servers drawn; more are too thin to see
 constexpr std::array<const char *, 8> colours = {"#1b6ca8", "#c8553d", "#588157", "#8e5ea2",
                                                  "#b08900", "#444444", "#00a6a6", "#d1495b"};
@@ -94,9 +95,16 @@
         at_ += panel + gap;
     }
 
-    void heat(const std::string &name, const std::vector<std::vector<double>> &rows) {
-        if (rows.empty())
+    void heat(const std::string &name, const std::vector<std::vector<double>> &all) {
+        if (all.empty())
             return;
+        // Two parts of the run to a cell: finer ones cannot be told apart, and cost space.
+        std::vector<std::vector<double>> rows;
+        for (const auto &each : all) {
+            rows.emplace_back();
+            for (std::size_t at = 0; at + 1 < each.size(); at += 2)
+                rows.back().push_back((each[at] + each[at + 1]) / 2);
+        }
         double largest = 1;
         for (const auto &row : rows)
             for (const double each : row)
@@ -111,7 +119,7 @@
                 (width - left - right) / static_cast<double>(std::max<std::size_t>(1, rows[i].size()));
             // Cells that look alike are one; a picture of many servers stays small.
             const auto shade = [&](std::size_t at) {
-                return std::round(std::log1p(rows[i][at]) / std::log1p(largest) * 12);
+                return std::round(std::log1p(rows[i][at]) / std::log1p(largest) * shades);
             };
             for (std::size_t from = 0, to = 0; from < rows[i].size(); from = to) {
                 for (to = from; to < rows[i].size() && shade(to) == shade(from); ++to) {
@@ -120,7 +128,7 @@
                     body_ << "<rect x='" << left + step * static_cast<double>(from) << "' y='"
                           << at_ + height * static_cast<double>(i) << "' width='"
                           << step * static_cast<double>(to - from) << "' height='" << height
-                          << "' fill='#1b6ca8' fill-opacity='" << std::setprecision(2) << shade(from) / 12
+                          << "' fill='#1b6ca8' fill-opacity='" << std::setprecision(2) << shade(from) / shades
                           << std::setprecision(1) << "'/>\n";
             }
         }
