Kills wait for what was acknowledged, not for a time

Seen: under the sanitizers the 50 kills came before enough changes were acknowledged (23), so the verdict hung on the machine. Change: a child is killed at a random instant after a random count of acknowledged changes.

--- a/tests/hosted_test.cpp
+++ b/tests/hosted_test.cpp
@@ -466,15 +466,22 @@
             }
         }
         ::close(ends[1]);
-        const auto wait = std::chrono::microseconds(2000 + from() % 40000);
-        std::this_thread::sleep_for(wait); // the instant itself is what is tried, not an event
-        ::kill(child, SIGKILL);
-        ::waitpid(child, nullptr, 0);
         std::uint64_t said = 0, last = 0;
-        while (::read(ends[0], &said, sizeof said) == sizeof said) {
+        const auto hear = [&] {
+            if (::read(ends[0], &said, sizeof said) != sizeof said)
+                return false;
             CHECK(said > last);
             last = said;
             ++acknowledged;
+            return true;
+        };
+        for (auto wanted = from() % 5; wanted > 0 && hear(); --wanted) {
+        }
+        // The instant itself is what is tried: anywhere in the next change, or in the start.
+        std::this_thread::sleep_for(std::chrono::microseconds(from() % 8000));
+        ::kill(child, SIGKILL);
+        ::waitpid(child, nullptr, 0);
+        while (hear()) {
         }
         ::close(ends[0]);
         service of(at.db());
