A late load generator catches up in order and drops nothing

Seen: with sanitizers, a load that the machine was too slow for ended early and did not say so. Cause: what was due in the past was queued behind the present, so the end of the load overtook arrivals that were due before it (timeline.hpp, at()). Change: it keeps its place.

--- a/src/lab/timeline.hpp
+++ b/src/lab/timeline.hpp
@@ -16,9 +16,9 @@
     explicit timeline(double start = 0) : now_(start) {}
 
     double now() const { return now_; } // s
-    void at(double when, std::function<void()> what) {
-        due_.push({when < now_ ? now_ : when, order_++, std::move(what)});
-    }
+    // A time that has passed keeps its place among the others that have: a late loop catches up in order, and
+    // drops nothing.
+    void at(double when, std::function<void()> what) { due_.push({when, order_++, std::move(what)}); }
     void after(double wait, std::function<void()> what) { at(now_ + wait, std::move(what)); }
 
     bool empty() const { return due_.empty(); }
@@ -27,7 +27,7 @@
     void advance(double until, bool jumps) {
         while (!due_.empty() && due_.top().when <= until) {
             auto what = std::move(const_cast<event &>(due_.top()).what); // the order does not look at it
-            if (jumps)
+            if (jumps && due_.top().when > now_)
                 now_ = due_.top().when;
             due_.pop();
             if (!jumps && until > now_)
