One list of our words, one way to a run's totals, and no parameter that nobody reads

Seen on rereading: effects and groups were named in two lists, a run's totals were taken twice, and the laboratory kept members and parameters without use. Change: src/setup/words.hpp and take_totals() serve both; the rest is gone.

--- a/src/hosted/admin_port.cpp
+++ b/src/hosted/admin_port.cpp
@@ -91,7 +91,7 @@
 }
 
 void admin_port::serve(tcp_socket socket, const std::string &peer) {
-    std::string reason = "failed", who;
+    std::string reason = "failed";
     std::uint64_t requests = 0;
     try {
         stream with(std::move(socket), identity_ != nullptr ? identity_->now() : nullptr);
@@ -99,7 +99,7 @@
             reason = "no_greeting";
             log_.info("admin-greeting peer=", peer, " error=\"", with.why(), '"');
         } else {
-            reason = talk(with, who, requests);
+            reason = talk(with, requests);
             with.finish();
         }
     } catch (const std::bad_alloc &) {
@@ -111,8 +111,8 @@
     log_.info("connection-end side=admin peer=", peer, " requests=", requests, " reason=", reason);
 }
 
-const char *admin_port::talk(stream &with, std::string &who, std::uint64_t &requests) {
-    who = with.caller();
+const char *admin_port::talk(stream &with, std::uint64_t &requests) {
+    const std::string who = with.caller();
     const auto answer = [&](const admin::api_answer &made, bool keeps) {
         count(made.why);
         return with.write(head_of(made, keeps) + made.body, most_.answer);
--- a/src/hosted/admin_port.hpp
+++ b/src/hosted/admin_port.hpp
@@ -40,7 +40,7 @@
 private:
     void run();
     void serve(tcp_socket socket, const std::string &peer);
-    const char *talk(stream &with, std::string &who, std::uint64_t &requests);
+    const char *talk(stream &with, std::uint64_t &requests);
     void count(const std::string &what);
 
     admin::api &api_;
--- a/src/lab/clients.cpp
+++ b/src/lab/clients.cpp
@@ -216,10 +216,6 @@
         add(by_tenant_[of.now.tenant]);
 }
 
-slot clients::total() const {
-    return settled_;
-}
-
 void clients::pause(bool begins) {
     pauses_ += begins ? 1 : static_cast<index>(-1);
     if (pauses_ > 0)
--- a/src/lab/clients.hpp
+++ b/src/lab/clients.hpp
@@ -59,7 +59,7 @@
     const std::vector<slot> &use_cases() const { return by_use_; }
     double slot_length() const { return slot_length_; }
     double began() const { return began_; }
-    slot total() const; // of what counts: after the settling time
+    const slot &total() const { return settled_; } // of what counts: after the settling time
     const std::vector<double> &popular() const { return sums_; }
     std::uint64_t key_of_rank(index rank) const;
 
@@ -93,7 +93,6 @@
     bool over_ = false;
     index pauses_ = 0;
     std::vector<std::pair<operation, double>> held_; // due while paused
-    std::vector<index> held_closed_;
     operation next_ = 0;
     std::unordered_map<operation, open_op> open_; // never iterated
     std::vector<slot> slots_, by_tenant_, by_use_;
--- a/src/lab/fleet_ports.cpp
+++ b/src/lab/fleet_ports.cpp
@@ -205,13 +205,12 @@
         what.key = ring_hash(key);
     stage_.judge.meet(what.op, what.attempt, what.use_case);
     stage_.judge.received(what.op, what.attempt, number_, loop_.clock.now());
-    const work of{what.op, what.attempt};
-    in_hand_[on->tag] = of;
-    const auto done = [this, here = std::weak_ptr(here_), weak = std::weak_ptr(on), of, key, id,
+    in_hand_[on->tag] = {what.op, what.attempt};
+    const auto done = [this, here = std::weak_ptr(here_), weak = std::weak_ptr(on), key, id,
                        write = what.write](const result &with) {
         const auto still = weak.lock();
         if (!here.expired() && still && still->open())
-            finish(still, of, write, key, id, with);
+            finish(still, write, key, id, with);
     };
     if (number_ < stage_.servers.size())
         stage_.servers.at(number_).receive(what, done);
@@ -219,7 +218,7 @@
         stage_.servers.receive_at_origin(what, done);
 }
 
-void server_port::finish(const std::shared_ptr<channel> &on, const work &, bool write, std::string_view key,
+void server_port::finish(const std::shared_ptr<channel> &on, bool write, std::string_view key,
                          std::string_view id, const result &with) {
     static constexpr std::array<std::string_view, 4> notes = {"", "X-Cache: hit\r\n", "X-Cache: miss\r\n",
                                                               "X-Cache: pending\r\n"};
--- a/src/lab/fleet_ports.hpp
+++ b/src/lab/fleet_ports.hpp
@@ -29,8 +29,8 @@
     void accept();
     void plug(bool begins);
     void message(const std::shared_ptr<channel> &on, const http_reader &asked);
-    void finish(const std::shared_ptr<channel> &on, const work &of, bool write, std::string_view key,
-                std::string_view id, const result &with);
+    void finish(const std::shared_ptr<channel> &on, bool write, std::string_view key, std::string_view id,
+                const result &with);
     void over(std::uint64_t tag);
     void tidy();
 
--- a/src/lab/loop.cpp
+++ b/src/lab/loop.cpp
@@ -66,10 +66,7 @@
             wait = std::min(wait, clock.next() - unix_now());
         timespec limit{0, wait > 0 ? static_cast<long>(wait * 1e9) : 0};
         const int count = epoll_pwait2(epoll_, came.data(), events_at_once, &limit, nullptr);
-        const double now = unix_now();
-        if (!clock.empty() && clock.next() <= now)
-            lateness_.add(now - clock.next());
-        clock.advance(now, false);
+        clock.advance(unix_now(), false);
         for (int i = 0; i < count; ++i) {
             const auto &each = came[static_cast<std::size_t>(i)];
             const int fd = static_cast<int>(each.data.u64 & 0xffffffffU);
--- a/src/lab/loop.hpp
+++ b/src/lab/loop.hpp
@@ -3,7 +3,6 @@
 // timeline follows the machine's clock (Unix time), so that the same models run in it as in virtual time.
 #pragma once
 
-#include "lab/histogram.hpp"
 #include "lab/timeline.hpp"
 
 #include <functional>
@@ -26,8 +25,6 @@
     void forget(int fd); // also within a call; a call for it that is due then is left out
 
     void run(const std::function<bool()> &over);
-    // How much later than due the loop got round to things, s: what is over some ms tells of a busy machine.
-    const histogram &lateness() const { return lateness_; }
 
 private:
     double unix_now() const;
@@ -39,7 +36,6 @@
     int epoll_;
     std::uint64_t serial_ = 0;
     std::unordered_map<int, entry> entries_;
-    histogram lateness_;
 };
 
 } // namespace harrierpass::lab
--- a/src/lab/servers.cpp
+++ b/src/lab/servers.cpp
@@ -128,13 +128,13 @@
         }
     }
     if (draining_)
-        return reply_with(what, done, {result::kind::queue_full, note::none});
+        return reply_with(done, {result::kind::queue_full, note::none});
     for (const auto &each : troubles_)
         if (!each.spoils && (each.use_case == none || each.use_case == what.use_case) &&
             chance_.happens(each.share))
             return of_.clock.after(error_time, [this, life = life_, what, done] {
                 if (life == life_)
-                    reply_with(what, done, {result::kind::error, note::none});
+                    reply_with(done, {result::kind::error, note::none});
             });
     begin(what, done);
 }
@@ -145,7 +145,7 @@
         return chance_.lognormal(spec.work, spec.spread) * factor_ / (speed_ * warmth());
     };
     if (!cores_.take(work, [this, what, done] { work_done(what, done); }))
-        reply_with(what, done, {result::kind::queue_full, note::none});
+        reply_with(done, {result::kind::queue_full, note::none});
 }
 
 // The server's own part is done: the effect of a write takes place, a read is there or is fetched.
@@ -153,29 +153,28 @@
     const auto life = life_;
     if (what.write) {
         if (of_.seen_before(what, number_))
-            return reply_with(what, done, {result::kind::completed, note::none});
+            return reply_with(done, {result::kind::completed, note::none});
         of_.judge.ran(what.op, what.attempt, number_);
         of_.source().fetch([this, life, what, done](bool there) {
             if (there && what.keyed)
                 of_.wrote(what.key);
             if (life == life_)
-                reply_with(what, done, {there ? result::kind::completed : result::kind::error, note::none});
+                reply_with(done, {there ? result::kind::completed : result::kind::error, note::none});
         });
         return;
     }
     if (!what.keyed || knows(what)) {
         of_.judge.ran(what.op, what.attempt, number_);
-        return reply_with(what, done, {result::kind::completed, what.keyed ? note::hit : note::none});
+        return reply_with(done, {result::kind::completed, what.keyed ? note::hit : note::none});
     }
     if (of_.given.fleet.aside)
-        return reply_with(what, done, {result::kind::missed, note::miss});
+        return reply_with(done, {result::kind::missed, note::miss});
     of_.judge.ran(what.op, what.attempt, number_);
     auto &waiting = fetching_[what.key];
     waiting.push_back([this, life, what, done, first = waiting.empty()](bool there) {
         if (life == life_)
-            reply_with(
-                what, done,
-                {there ? result::kind::completed : result::kind::error, first ? note::miss : note::pending});
+            reply_with(done, {there ? result::kind::completed : result::kind::error,
+                              first ? note::miss : note::pending});
     });
     if (waiting.size() > 1)
         return;
@@ -191,13 +190,12 @@
     });
 }
 
-void cache_server::reply_with(const job &what, const answer_to &done, result with) {
+void cache_server::reply_with(const answer_to &done, result with) {
     if (!up() || deaf())
         return;
     for (const auto &each : troubles_)
         if (each.spoils && chance_.happens(each.share))
             with = {result::kind::spoilt, note::none};
-    static_cast<void>(what);
     done(with);
 }
 
--- a/src/lab/servers.hpp
+++ b/src/lab/servers.hpp
@@ -122,7 +122,7 @@
 private:
     void begin(const job &what, const answer_to &done);
     void work_done(const job &what, const answer_to &done);
-    void reply_with(const job &what, const answer_to &done, result with);
+    void reply_with(const answer_to &done, result with);
     bool knows(const job &what);
     void changed();
 
@@ -157,6 +157,7 @@
     cache_server &at(index number) { return servers_[number]; }
     index size() const { return static_cast<index>(servers_.size()); }
     origin &source() { return origin_; }
+    const origin &source() const { return origin_; }
     // At the origin itself, in aside mode.
     void receive_at_origin(const job &what, answer_to done);
 
--- a/src/lab/socket_run.cpp
+++ b/src/lab/socket_run.cpp
@@ -285,26 +285,13 @@
     });
     load_result made;
     const double took = std::min(asked.length, steady_now() - began);
-    const slot all = people.total();
     auto &run = made.run;
     run.experiment = given.name;
     run.variant = "load";
     run.mode = "load";
     run.seed = how.seed;
     run.length = asked.length;
-    run.queries = all.queries;
-    run.completed = all.completed;
-    run.rejected = all.rejected;
-    run.aborted = all.aborted;
-    run.none = all.none;
-    run.late = all.late;
-    run.service = all.asked > 0 ? all.served / all.asked : 0;
-    run.p50 = all.times.percentile(50);
-    run.p90 = all.times.percentile(90);
-    run.p99 = all.times.percentile(99);
-    run.p999 = all.times.percentile(99.9);
-    run.lateness_p99 = people.lateness().percentile(99);
-    run.lateness_most = people.lateness().most();
+    take_totals(run, people);
     run.wall = steady_now() - began;
     for (const rule each : {rule::lost, rule::answered_twice, rule::wrong_body})
         run.rules.emplace_back(name_of(each), judge.broken(each));
@@ -312,8 +299,8 @@
     whole_run::judge_lateness(run, asked);
     if (run.completed == 0 && run.void_because.empty())
         run.void_because = "no query was completed: is anybody there?";
-    const auto count = static_cast<double>(std::max<std::uint64_t>(1, all.queries));
-    made.rate = static_cast<double>(all.completed) / took;
+    const auto count = static_cast<double>(std::max<std::uint64_t>(1, run.queries));
+    made.rate = static_cast<double>(run.completed) / took;
     made.own_cpu_us = (own_cpu() - cpu) * 1e6 / count;
     if (before && after) {
         made.cpu_us = (after->cpu - before->cpu) * 1e6 / count;
--- a/src/lab/spec.cpp
+++ b/src/lab/spec.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "lab/spec.hpp"
 
+#include "setup/words.hpp"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -50,13 +52,6 @@
                                                                         {"push_cold", plant::push_cold},
                                                                         {"late", plant::late},
                                                                         {"wrong_body", plant::wrong_body}}};
-constexpr std::array<std::pair<const char *, effect_kind>, 3> effect_names = {
-    {{"idempotent", effect_kind::idempotent},
-     {"deduplicated", effect_kind::deduplicated},
-     {"non_idempotent", effect_kind::non_idempotent}}};
-constexpr std::array<std::pair<const char *, repeat_group>, 3> group_names = {
-    {{"all", repeat_group::all}, {"zone", repeat_group::zone}, {"cell", repeat_group::cell}}};
-
 // One table of the file, read key by key; what nobody asked for is refused at the end.
 class section {
 public:
@@ -219,8 +214,8 @@
     if (use.name.empty() ||
         use.name.find_first_not_of("abcdefghijklmnopqrstuvwxyz_-0123456789") != use.name.npos)
         from.refuse(nullptr, "a use_case needs a name of small letters, digits, - and _");
-    from.one_of("effect", effect_names, use.decides.effect);
-    from.one_of("group", group_names, use.decides.group);
+    from.one_of("effect", effect_words, use.decides.effect);
+    from.one_of("group", group_words, use.decides.group);
     from.seconds("window", use.decides.window, 0, 3600);
     from.seconds("slo", use.decides.slo_time, 0.0001, 600);
     use.statement_timeout = use.decides.slo_time * 3;
@@ -376,19 +371,14 @@
         to.variants.emplace_back();
 }
 
-template <typename Names, typename Kind> const char *find_name(const Names &names, Kind kind) {
-    return std::find_if(names.begin(), names.end(), [&](const auto &each) { return each.second == kind; })
-        ->first;
-}
-
 } // namespace
 
 const char *name_of(fault_kind kind) {
-    return find_name(fault_names, kind);
+    return word_of(fault_names, kind);
 }
 
 const char *name_of(decider by) {
-    return find_name(decider_names, by);
+    return word_of(decider_names, by);
 }
 
 experiment parse_experiment(const std::string &text, const std::string &name) {
--- a/src/lab/stage.cpp
+++ b/src/lab/stage.cpp
@@ -166,32 +166,36 @@
         clock.after(flap_period, [this, &fault, server, until] { flap(fault, server, until); });
 }
 
+void take_totals(run_result &to, const clients &of) {
+    const slot &all = of.total();
+    to.service = all.asked > 0 ? all.served / all.asked : 0;
+    to.queries = all.queries;
+    to.completed = all.completed;
+    to.late = all.late;
+    to.rejected = all.rejected;
+    to.aborted = all.aborted;
+    to.none = all.none;
+    to.retries = all.retries;
+    to.p50 = all.times.percentile(50);
+    to.p90 = all.times.percentile(90);
+    to.p99 = all.times.percentile(99);
+    to.p999 = all.times.percentile(99.9);
+    to.lateness_p99 = of.lateness().percentile(99);
+    to.lateness_most = of.lateness().most();
+}
+
 run_result stage::result(const variant_spec &of, const char *mode) const {
     run_result made;
-    const slot all = people.total();
     made.experiment = given.name;
     made.variant = of.name;
     made.mode = mode;
     made.seed = seed_;
     made.length = given.length;
-    made.service = all.asked > 0 ? all.served / all.asked : 0;
-    made.queries = all.queries;
-    made.completed = all.completed;
-    made.late = all.late;
-    made.rejected = all.rejected;
-    made.aborted = all.aborted;
-    made.none = all.none;
-    made.retries = all.retries;
+    take_totals(made, people);
     made.executions = judge.executions();
-    made.fetches = const_cast<stage *>(this)->servers.source().fetches();
+    made.fetches = servers.source().fetches();
     made.events = clock.ran();
     made.trace = judge.trace_hash();
-    made.p50 = all.times.percentile(50);
-    made.p90 = all.times.percentile(90);
-    made.p99 = all.times.percentile(99);
-    made.p999 = all.times.percentile(99.9);
-    made.lateness_p99 = people.lateness().percentile(99);
-    made.lateness_most = people.lateness().most();
     for (std::size_t i = 0; i < static_cast<std::size_t>(rule::total); ++i)
         made.rules.emplace_back(name_of(static_cast<rule>(i)), judge.broken(static_cast<rule>(i)));
     made.stories = judge.stories();
--- a/src/lab/stage.hpp
+++ b/src/lab/stage.hpp
@@ -36,6 +36,9 @@
     std::uint64_t broken() const;
 };
 
+// What the clients saw in all, into a result.
+void take_totals(run_result &to, const clients &of);
+
 class stage {
 public:
     // `slack`: s by which clocks on the link may differ.
--- a/src/lab/virtual_proxy.cpp
+++ b/src/lab/virtual_proxy.cpp
@@ -319,7 +319,7 @@
         });
 }
 
-void virtual_proxy::broken(index server, std::uint64_t) {
+void virtual_proxy::broken(index server) {
     for (index i = 0; up() && i < held_.size(); ++i)
         if (const auto &of = held_[i]; of.live && of.out_at == server)
             clock_.after(way(server), [this, life = life_, i, number = of.sent - 1, serial = of.serial] {
--- a/src/lab/virtual_proxy.hpp
+++ b/src/lab/virtual_proxy.hpp
@@ -39,7 +39,7 @@
 
     void changed(const membership::member &what); // the list's, published
     // A server's process died, or its machine: connections to it break.
-    void broken(index server, std::uint64_t life);
+    void broken(index server);
 
 private:
     struct held {
--- a/src/lab/virtual_run.cpp
+++ b/src/lab/virtual_run.cpp
@@ -46,13 +46,13 @@
     };
     all.on_broken = [&](index server) {
         for (auto &each : proxies)
-            each.broken(server, 0);
+            each.broken(server);
     };
     for (index i = 0; i < all.servers.size(); ++i)
         all.servers.at(i).on_change = [&, i] { // a cold server that fell over
             if (!all.servers.at(i).up() && all.list.truth(i).state != listing::gone)
                 for (auto &each : proxies)
-                    each.broken(i, 0);
+                    each.broken(i);
         };
     std::vector<index> killed(proxies.size());
     all.on_proxy_kill = [&](index proxy, bool begins) {
--- a/src/tenants/text.cpp
+++ b/src/tenants/text.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "tenants/text.hpp"
 
+#include "setup/words.hpp"
+
 #include <array>
 #include <functional>
 #include <nlohmann/json.hpp>
@@ -13,20 +15,6 @@
 constexpr int most_depth = 16; // of nested values; a tenant's own nest three deep
 constexpr std::array<std::pair<const char *, state>, 3> states = {
     {{"staged", state::staged}, {"active", state::active}, {"draining", state::draining}}};
-constexpr std::array<std::pair<const char *, effect_kind>, 3> effects = {
-    {{"idempotent", effect_kind::idempotent},
-     {"deduplicated", effect_kind::deduplicated},
-     {"non_idempotent", effect_kind::non_idempotent}}};
-constexpr std::array<std::pair<const char *, repeat_group>, 3> groups = {
-    {{"all", repeat_group::all}, {"zone", repeat_group::zone}, {"cell", repeat_group::cell}}};
-
-template <typename Names, typename Kind> const char *text_of(const Names &names, Kind kind) {
-    for (const auto &[name, each] : names)
-        if (each == kind)
-            return name;
-    return "";
-}
-
 json value_of(const tenant &of, bool secrets) {
     json made = {{"name", of.name},
                  {"state", name_of(of.is)},
@@ -43,8 +31,8 @@
                  {"keys", json::array()}};
     for (const auto &each : of.use_cases)
         made["use_cases"].push_back({{"name", each.name},
-                                     {"effect", text_of(effects, each.decides.effect)},
-                                     {"group", text_of(groups, each.decides.group)},
+                                     {"effect", word_of(effect_words, each.decides.effect)},
+                                     {"group", word_of(group_words, each.decides.group)},
                                      {"window", each.decides.window},
                                      {"slo_time", each.decides.slo_time},
                                      {"statement_timeout", each.statement_timeout},
@@ -148,8 +136,8 @@
                     auto &use = to.use_cases.emplace_back();
                     is.object(value, at,
                               {{"name", is.text(use.name)},
-                               {"effect", is.one_of(effects, use.decides.effect)},
-                               {"group", is.one_of(groups, use.decides.group)},
+                               {"effect", is.one_of(effect_words, use.decides.effect)},
+                               {"group", is.one_of(group_words, use.decides.group)},
                                {"window", is.number(use.decides.window)},
                                {"slo_time", is.number(use.decides.slo_time)},
                                {"statement_timeout", is.number(use.statement_timeout)},
