--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t zone_walk = 64;   // points walked for a candidate in the own zone; a zone may be small
 constexpr std::size_t recent_keys = 64; // queries; a few seconds of one proxy's, and 2% of them show
 constexpr double dear_crossing = 0.05;  // of an answer's worth; above it a key is worth a copy in each zone
-constexpr double hot_factor = 2;        // servers for each server's fair share of queries that a key draws
+constexpr double hot_factor = 1;        // servers for each server's fair share of queries that a key draws
 constexpr double spill_factor = 2;      // times the mean in flight; the design's
 constexpr double spill_floor = 2;       // queries; the design's
 constexpr double sweep_period = 0.05;   // s; short beside any SLO time, cheap at 20 a second
@@ -66,12 +66,12 @@
         least_silent_ = shortest * silent_share;
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
-            tenants_.push_back({quota / given.peers, std::max(tenant_burst, quota / given.peers), now});
+            tenants_.push_back({quota / peers_, std::max(tenant_burst, quota / peers_), now});
         repeats_ = repeat_burst;
         own_part_ = chance();
         call_gap_ = first_call_gap;
         swept_ = now;
-        all_ = {start_cap / peers_, least_cap / peers_, all_slow_share, all_weight};
+        all_ = {start_cap, least_cap / peers_, all_slow_share, all_weight};
         call_at_ = now + chance() * call_gap_;
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
     }
@@ -364,7 +364,7 @@
                 seen_.erase(oldest);
         }
         const double servers = (count - 1) / recent_keys * static_cast<double>(on_ring_.size());
-        return static_cast<index>(own_part_ * std::max(1.0, std::ceil(hot_factor * servers)));
+        return static_cast<index>(own_part_ * std::max(1.0, std::floor(hot_factor * servers)));
     }
 
     void arrived(double now, const new_query &from) override {
@@ -461,7 +461,7 @@
 
     // A limit on what is in flight grows by one for a limit's worth of good answers and is cut by a share.
     // What was sent before the last cut says nothing of the limit in force.
-    void grow_or_cut(limit &lim, double sent, double share, bool reached) {
+    void grow_or_cut(limit &lim, double sent, double share, bool reached, index held) {
         if (sent < lim.cut_at)
             return;
         // Old news weighs less: of many servers each is heard of rarely.
@@ -469,9 +469,9 @@
             std::max(lim.weight, 1 - std::exp((lim.heard_at - now_) / news_memory)) * (share - lim.slow);
         lim.heard_at = now_;
         if (lim.slow <= std::max(lim.target, base_factor * lim.base)) {
-            lim.cap += reached ? 1 / std::max(1.0, lim.cap * lim.parts) / lim.parts : 0;
+            lim.cap += reached ? std::min(lim.cap * lim.parts, 1 / (lim.cap * lim.parts)) / lim.parts : 0;
         } else {
-            lim.cap = std::max(lim.least, lim.cap * std::min(cut_share, lim.target / lim.slow));
+            lim.cap = std::max(lim.least, std::min(lim.cap, (held + 1) / lim.parts) * std::min(cut_share, lim.target / lim.slow));
             lim.cut_at = now_;
         }
     }
@@ -483,15 +483,15 @@
             // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
             // slow by its load, and a late fetch still fills the cache.
             lim.base = lim.cap <= lim.least ? lim.slow : std::min(lim.base, lim.slow);
-            return grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap);
+            return grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap, srv.in_flight);
         }
         const bool all_reached = total_in_flight_ + 1 > room_;
         if (!fetched) // an answer that had to come from the origin says little of the server itself
-            grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached);
+            grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached, srv.in_flight);
         // Guards against jams of which each of many proxies sees too little at any one server. A time-out,
         // with silence before it, says nothing of the other servers.
         if (srv.at == health::ready && srv.quiet <= 0)
-            grow_or_cut(all_, sent, share, all_reached);
+            grow_or_cut(all_, sent, share, all_reached, total_in_flight_);
     }
 
     sign condemn(index id) {
