Silence is judged by the middle SLO time: one short use case called off healthy servers

The first guess of a mean answer came from the shortest SLO time, 0.3 s for a rare use case beside 1.5 s for nearly all; a proxy that hears an answer a second takes twenty of them to unlearn it.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -43,7 +43,7 @@
 constexpr double news_memory = 4;      // s; what a server did before then says little of its load now
 constexpr double quiet_limit = 12;     // mean answer times of silence; rare by chance even where work varies
 constexpr double silent_share =
-    0.2; // of the shortest SLO time; a pause of a process or a lost packet is no silence
+    0.2; // of the middle SLO time; a pause of a process or a lost packet is no silence
 constexpr double bad_weight = 0.21;  // of a broken execution in the mean; three in a row condemn
 constexpr double error_weight = 0.2; // of an error answer, maybe the query's own fault; four condemn
 constexpr double bad_limit = 0.5;    // share of broken executions; over it a server is worse than none
@@ -61,9 +61,11 @@
 class core final : public router, private memory {
 public:
     core(const settings &given, std::uint32_t seed, double now) : memory(given, seed, now) {
-        const double shortest = std::ranges::min(use_cases_, {}, &use_case::slo_time).slo_time;
-        mean_answer_ = shortest * slow_share / 2;
-        least_silent_ = shortest * silent_share;
+        auto by_time = use_cases_;
+        std::ranges::sort(by_time, {}, &use_case::slo_time);
+        const double middle = by_time[(by_time.size() - 1) / 2].slo_time;
+        mean_answer_ = middle * slow_share / 2;
+        least_silent_ = middle * silent_share;
         end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
         for (double quota : given.tenant_quota)
             tenants_.push_back({quota / peers_, std::max(tenant_burst, quota / peers_), now});
