--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -136,6 +136,7 @@
     double room_ = 0;                        // what it comes to
     double mean_answer_ = 0;                 // s
     double least_silent_ = 0;                // s
+    double shortest_ = 0;                    // SLO time, s
     double swept_ = 0;                       // when the last sweep was, s
     bool mass_doubt_ = false;                // so many are suspect that suspicion is not to be trusted
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -34,6 +34,7 @@
 constexpr index nobody = none - 1; // where no server may take a query, now or later
 constexpr double cut_share = 0.7;  // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.4; // of the SLO time; the rest is left for the way and a second try
+constexpr double origin_share = 0.6;
 constexpr double base_factor = 2;  // times the origin's answer time at its least load; then queues
 constexpr double quick_share = 0.15;   // of the SLO time; so quick a server has room to spare
 constexpr double all_slow_share = 0.6; // of the SLO time; over one server's, as some are slow of themselves
@@ -63,6 +64,7 @@
     core(const settings &given, std::uint32_t seed, double now) : memory(given, seed, now) {
         auto by_time = use_cases_;
         std::ranges::sort(by_time, {}, &use_case::slo_time);
+        shortest_ = by_time.front().slo_time;
         const double middle = by_time[(by_time.size() - 1) / 2].slo_time;
         mean_answer_ = middle * slow_share / 2;
         least_silent_ = middle * silent_share;
@@ -426,7 +428,8 @@
         srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
         if (result == outcome::completed || result == outcome::miss) {
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
-            learn(srv, run.sent, share, fetched);
+            // Guards the use case with the least time: all come to the one origin, and wait for each other.
+            learn(srv, run.sent, run.server == origin_ ? elapsed / shortest_ : share, fetched);
         } else if (result == outcome::queue_full) {
             srv.full_until = now + mean_answer_;
             learn(srv, run.sent, 1, false);
@@ -471,7 +474,7 @@
             std::max(lim.weight, 1 - std::exp((lim.heard_at - now_) / news_memory)) * (share - lim.slow);
         lim.heard_at = now_;
         if (lim.slow <= std::max(lim.target, base_factor * lim.base)) {
-            lim.cap += reached ? std::min(lim.cap * lim.parts, 1 / (lim.cap * lim.parts)) / lim.parts : 0;
+            lim.cap += reached ? 1 / std::max(1.0, lim.cap * lim.parts) / lim.parts : 0;
         } else {
             lim.cap = std::max(lim.least, std::min(lim.cap, (held + 1) / lim.parts) * std::min(cut_share, lim.target / lim.slow));
             lim.cut_at = now_;
@@ -577,9 +580,10 @@
             srv.as.id = {}; // it is the caller's
             const double points = (allow_.weights_live ? 1 : entry.weight) * points_per_weight;
             srv.points = static_cast<index>(std::clamp(std::round(points), 1.0, most_points));
-            if (is_origin(srv))
+            if (is_origin(srv)) {
                 origin_ = entry.server;
-            else if ((restarted || (fresh && (kind == list_kind::changes || !on_ring_.empty()))) &&
+                srv.lim.target = origin_share;
+            } else if ((restarted || (fresh && (kind == list_kind::changes || !on_ring_.empty()))) &&
                      now - entry.started < cold_.warm_time) {
                 feel(entry.server, sign::reborn);
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
