A server that reports twice the mean in hand is passed over; a refusing origin rests a second

Servers there report what they hold; that, drawn to the mean as it ages, now counts as well. Where a proxy had been refused by the origin it asked again after 0.1 s: 125 proxies sent 4142 a second to an origin that does 150, and it stopped.

--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -77,6 +77,7 @@
     double quiet = 0, silent = 0; // execution-seconds without a sign of life, and seconds of it
     double quiet_at = 0;          // up to when
     double cold_since = 0, full_until = 0;
+    double told = 0, told_at = 0; // queries in hand by its last report, and when
     double condemned_at = 0, trial_at = 0, gap = 0;
 };
 
@@ -135,6 +136,7 @@
     limit all_;                              // on executions at all of them
     double room_ = 0;                        // what it comes to
     double mean_answer_ = 0;                 // s
+    double mean_told_ = 0;                   // queries in hand, by the servers' reports
     double least_silent_ = 0;                // s
     double shortest_ = 0;                    // SLO time, s
     double swept_ = 0;                       // when the last sweep was, s
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t zone_walk = 64;   // points walked for a candidate in the own zone; a zone may be small
 constexpr std::size_t recent_keys = 64; // queries; a few seconds of one proxy's, and 2% of them show
 constexpr double dear_crossing = 0.05;  // of an answer's worth; above it a key is worth a copy in each zone
-constexpr double hot_factor = 1;        // servers for each server's fair share of queries that a key draws
+constexpr double hot_factor = 2;        // servers for each server's fair share of queries that a key draws
 constexpr double spill_factor = 2;      // times the mean in flight; the design's
 constexpr double spill_floor = 2;       // queries; the design's
 constexpr double sweep_period = 0.05;   // s; short beside any SLO time, cheap at 20 a second
@@ -216,9 +216,9 @@
             // is open to that part of the queries, so that the sum over all proxies keeps the limit.
             if ((total_in_flight_ + qry.luck >= room_ && srv.lim.slow > quick_share) || !has_room(srv, qry))
                 continue;
-            if (srv.in_flight + 1 <= most)
+            if (srv.in_flight + 1 <= most && told(srv) <= spill_factor * mean_told_)
                 return id;
-            if (best >= nobody || srv.in_flight < servers_[best].in_flight)
+            if (best >= nobody || std::pair(srv.in_flight + 1 > most, told(srv)) < std::pair(servers_[best].in_flight + 1 > most, told(servers_[best])))
                 best = id;
         }
         return best;
@@ -407,7 +407,8 @@
         feed(from.query, input::arrives);
     }
 
-    void ended(double now, index id, index number, outcome result, bool over, bool fetched) override {
+    void ended(double now, index id, index number, outcome result, bool over, bool fetched,
+               const load_report &told) override {
         now_ = now;
         auto &qry = queries_[id];
         if (number >= qry.executions.size() || !qry.executions[number].open)
@@ -420,6 +421,7 @@
         took(srv);
         const double elapsed = now - run.sent, share = elapsed / use_cases_[qry.use_case].slo_time;
         const bool answered = is_answer(result);
+        heard(srv, told);
         if (answered)
             srv.quiet = srv.silent = 0;
         const bool broken = result == outcome::reset || result == outcome::connect_error;
@@ -430,6 +432,9 @@
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
             // Guards the use case with the least time: all come to the one origin, and wait for each other.
             learn(srv, run.sent, run.server == origin_ ? elapsed / shortest_ : share, fetched);
+        } else if (run.server == origin_ && never_ran(result)) {
+            srv.full_until = now + trust_memory * (0.5 + chance());
+            learn(srv, run.sent, 1, false);
         } else if (result == outcome::queue_full) {
             srv.full_until = now + mean_answer_;
             learn(srv, run.sent, 1, false);
@@ -499,6 +504,20 @@
             grow_or_cut(all_, sent, share, all_reached, total_in_flight_);
     }
 
+    // What a server says of its load. Where it names the share of its cores, a queue so busy holds this much.
+    void heard(server &srv, const load_report &report) {
+        if (report.held < 0)
+            return;
+        srv.told = report.held;
+        srv.told_at = now_;
+        if (!is_origin(srv))
+            mean_told_ += slow_weight / 4 * (srv.told - mean_told_);
+    }
+    // Old news is drawn to the mean.
+    double told(const server &srv) const {
+        return mean_told_ + (srv.told - mean_told_) * std::exp((srv.told_at - now_) / news_memory);
+    }
+
     sign condemn(index id) {
         auto &srv = servers_[id];
         const bool silent = srv.quiet > quiet_limit / 4 * mean_answer_; // else what is out may be answered
@@ -541,8 +560,9 @@
         return sign::nothing;
     }
 
-    void probed(double now, index id, bool answered) override {
+    void probed(double now, index id, bool answered, const load_report &told) override {
         now_ = now;
+        heard(servers_[id], told);
         if (servers_[id].at == health::suspect)
             feel(id, !answered ? sign::struck : servers_[id].died ? sign::reborn : sign::answered);
     }
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -16,10 +16,11 @@
     virtual void arrived(double now, const new_query &from) = 0;
     // `over`: the query has its final answer, by this outcome or before it. `fetched`: the server had to ask
     // the origin first.
-    virtual void ended(double now, index qry, index execution, outcome result, bool over, bool fetched) = 0;
+    virtual void ended(double now, index qry, index execution, outcome result, bool over, bool fetched,
+                       const load_report &told = {}) = 0;
     virtual void begun(double now, index qry) = 0; // its stream has started and is the client's now
     virtual void left(double now, index qry) = 0;  // the client went; nothing more is owed
-    virtual void probed(double now, index server, bool answered) = 0;
+    virtual void probed(double now, index server, bool answered, const load_report &told = {}) = 0;
     virtual void woken(double now) = 0;
 
     std::vector<action> actions; // what the last calls decided, in order; the caller empties it
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -97,6 +97,12 @@
            result == outcome::miss;
 }
 
+// What a server said of its own load, with an answer or a probe's; negative: not told.
+struct load_report {
+    double held = -1; // queries in hand
+    double busy = -1; // share of its cores
+};
+
 // The server itself spoke, so it is alive.
 inline bool is_answer(outcome result) {
     return result == outcome::completed || result == outcome::error || result == outcome::queue_full ||
--- a/src/simlink/simlink.cpp
+++ b/src/simlink/simlink.cpp
@@ -101,6 +101,7 @@
     void membership(instance &to, parts &line);
     void arrival(instance &to, parts &line);
     void attempt_end(instance &to, parts &line);
+    static load_report report(parts &line);
     void print(index who, instance &from);
     void put(double seconds);
     instance &known(index who);
@@ -195,7 +196,9 @@
         const index server = to.server(line.word(), false);
         if (server == none)
             throw bad_line{"unknown cache node"};
-        to.decides->probed(now_, server, line.word() == "Ok");
+        const bool answered = line.word() == "Ok";
+        line.word(); // the time it took decides nothing
+        to.decides->probed(now_, server, answered, report(line));
     } else {
         const auto found = to.query_index.find(line.word());
         if (found == to.query_index.end())
@@ -322,7 +325,23 @@
     if (found == to.query_index.end())
         throw bad_line{"unknown request"};
     to.decides->ended(now_, found->second, execution, static_cast<outcome>(code - codes.begin()), over == "1",
-                      note > 1);
+                      note > 1, report(line));
+}
+
+// The values that decide something; the others are passed over, and so is what is no number.
+load_report wire_link::report(parts &line) {
+    load_report told;
+    string_view left = line.word();
+    while (!left.empty() && left != "-") {
+        const string_view pair = left.substr(0, left.find(','));
+        left = pair.size() < left.size() ? left.substr(pair.size() + 1) : string_view{};
+        const auto colon = pair.find(':');
+        const string_view name = pair.substr(0, colon);
+        double *const to = name == "concurrent" ? &told.held : name == "load_share" ? &told.busy : nullptr;
+        if (to != nullptr && colon != string_view::npos)
+            *to = parse_number<double>(pair.substr(colon + 1), "a reported value is no number");
+    }
+    return told;
 }
 
 void wire_link::put(double seconds) {
