--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -251,6 +251,8 @@
         auto &qry = queries_[id];
         if (qry.executions.size() >= allow_.max_executions || now_ >= qry.end)
             return input::hopeless;
+        // Guards against a miss on the last execution allowed, which nobody could fetch any more.
+        qry.to_origin = qry.to_origin || (origin_ != none && qry.executions.size() > 0 && qry.executions.size() + 1 == allow_.max_executions);
         const index to = choose(qry);
         if (to == none || to == nobody)
             return to == none ? input::wait : input::hopeless;
