--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -35,6 +35,7 @@
 constexpr double cut_share = 0.7;  // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.4; // of the SLO time; the rest is left for the way and a second try
 constexpr double origin_share = 0.6;
+constexpr double origin_room = 32; // queries in hand at the origin; more are told only where it jams
 constexpr double base_factor = 2;  // times the origin's answer time at its least load; then queues
 constexpr double quick_share = 0.15;   // of the SLO time; so quick a server has room to spare
 constexpr double all_slow_share = 0.6; // of the SLO time; over one server's, as some are slow of themselves
@@ -154,8 +155,11 @@
     // Guards "no cold server pushed over": it takes part of its keys by its warmth, and part of their queries
     // by twice that, so that what all proxies send it keeps under what it can do whatever their number.
     bool has_room(const server &srv, const query &qry) const {
-        // Guards against an origin left alone for want of news: what cut its limit is soon forgotten.
-        const double forgot = is_origin(srv) ? 1 - std::exp((srv.lim.heard_at - now_) / trust_memory) : 0;
+        // Guards against an origin left alone for want of news: what cut its limit is soon forgotten. But where
+        // it said that it holds much, not by all of many proxies at once.
+        const double forgot = is_origin(srv) ? (1 - std::exp((srv.lim.heard_at - now_) / trust_memory)) *
+                                                   std::min(1.0, origin_room / std::max(1.0, srv.told))
+                                             : 0;
         const double cap = std::max(srv.lim.cap, forgot) * std::min(1.0, cold_haste * warmth(srv));
         return srv.in_flight + qry.luck < cap && now_ >= srv.full_until;
     }
