--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -29,7 +29,7 @@
 constexpr double sweep_period = 0.05;   // s; short beside any SLO time, cheap at 20 a second
 constexpr double start_cap = 8;         // executions of all proxies at a warm server not yet known
 constexpr double cold_cap = 1;          // executions; the least that still learns
-constexpr double cold_haste = 2;   // times its warmth; the part of its keys' queries that a cold server takes
+constexpr double cold_haste = 1.4;   // times its warmth; the part of its keys' queries that a cold server takes
 constexpr double least_cap = 2;    // executions of all proxies; a limit never shuts a server off
 constexpr index nobody = none - 1; // where no server may take a query, now or later
 constexpr double cut_share = 0.7;  // of the cap; a few cuts halve it, one does little harm
@@ -519,9 +519,11 @@
         if (!is_origin(srv))
             mean_told_ += slow_weight / 4 * (srv.told - mean_told_);
     }
-    // Old news is drawn to the mean.
+    // Old news is drawn to the mean. Guards a cold server against what crowded ones are spared: it counts for
+    // what it can do.
     double told(const server &srv) const {
-        return mean_told_ + (srv.told - mean_told_) * std::exp((srv.told_at - now_) / news_memory);
+        const double held = mean_told_ + (srv.told - mean_told_) * std::exp((srv.told_at - now_) / news_memory);
+        return held / warmth(srv);
     }
 
     sign condemn(index id) {
