--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -47,7 +47,7 @@
     bool write = false, excess = false, to_origin = false, leads = false, follows = false;
     index use_case = 0, generation = 0;
     std::uint64_t key = 0, hash = 0;
-    bool has_key = false;
+    bool has_key = false, hot = false; // hot: its key alone is more than a server's fair share
     double end = 0, hold_end = 0;
     double worth = 0; // importance, less beyond the tenant's share
     double luck = 0;  // of 1; where it falls between two executions, a limit is open to lower ones
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -191,7 +191,7 @@
             --at;
             const index id = at->server;
             const bool waits = !at_home && !own(id) && found.size() + 1 == wanted && seen < zone_walk;
-            if (waits || at->order >= servers_[id].active ||
+            if (waits || at->order >= servers_[id].active || (qry.hot && servers_[id].at == health::cold) ||
                 std::find(found.begin(), found.end(), id) != found.end() || tried(id) || !usable(id, qry) ||
                 !may_go(qry, id))
                 continue;
@@ -364,7 +364,7 @@
 
     // Guards against keys hotter than their candidates: by its share of the latest queries, alike at all
     // proxies, a key gets more places on the ring, and each proxy uses one.
-    index place_of(std::uint64_t key) {
+    index places_of(std::uint64_t key) {
         recent_.push_back(key);
         const double count = ++seen_[key];
         if (recent_.size() > recent_keys) {
@@ -374,7 +374,7 @@
                 seen_.erase(oldest);
         }
         const double servers = (count - 1) / recent_keys * static_cast<double>(on_ring_.size());
-        return static_cast<index>(own_part_ * std::max(1.0, std::floor(hot_factor * servers)));
+        return static_cast<index>(std::max(1.0, std::floor(hot_factor * servers)));
     }
 
     void arrived(double now, const new_query &from) override {
@@ -393,7 +393,9 @@
         qry.has_key = from.has_key;
         qry.key = from.key;
         const std::uint64_t key = from.has_key ? from.key : (std::uint64_t{chance_()} << 31) + chance_();
-        const index at = from.has_key ? place_of(key) : 0;
+        const index places = from.has_key ? places_of(key) : 1;
+        const auto at = static_cast<index>(own_part_ * places);
+        qry.hot = places > 1;
         qry.hash =
             ring_hash(std::to_string(key) + (at > 0 ? std::string("/").append(std::to_string(at)) : ""));
         qry.end = from.statement_end - end_margin_;
@@ -498,7 +500,9 @@
         if (is_origin(srv)) {
             // Guards against starving an origin that is slow of itself: what is slow at the least cap is not
             // slow by its load, and a late fetch still fills the cache.
-            lim.base = lim.cap <= lim.least ? lim.slow : std::min(lim.base, lim.slow);
+            // That is not known while it refuses, nor where it says that it holds much for other proxies.
+            const bool alone = lim.cap <= lim.least && now_ >= srv.full_until && srv.told < origin_room;
+            lim.base = alone ? lim.slow : std::min(lim.base, lim.slow);
             return grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap, srv.in_flight);
         }
         const bool all_reached = total_in_flight_ + 1 > room_;
