--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -33,6 +33,7 @@
     probes_answered,
     lists,
     lists_lost,
+    adopted,
     clients_accepted,
     clients_ended,
     server_dials,
--- a/src/base/text.hpp
+++ b/src/base/text.hpp
@@ -4,16 +4,20 @@
 
 #include <charconv>
 #include <exception>
+#include <memory>
+#include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 
 namespace harrierpass {
 
 // A text that cannot be used, and why.
 struct bad_text : std::exception {
-    explicit bad_text(const char *fault) : why(fault) {}
+    explicit bad_text(std::string fault) : told(std::make_shared<const std::string>(std::move(fault))) {}
     const char *what() const noexcept override { return why; }
-    const char *why;
+    std::shared_ptr<const std::string> told; // shared, as copying an exception must not fail
+    const char *why = told->c_str();
 };
 
 template <typename Number> Number parse_number(std::string_view part, const char *fault) {
--- a/src/lab/deciders.cpp
+++ b/src/lab/deciders.cpp
@@ -74,7 +74,8 @@
         place(now, from.query);
     }
 
-    void ended(double now, index id, index number, outcome result, bool over, bool) override {
+    void ended(double now, index id, index number, outcome result, bool over, bool,
+               const load_report &) override {
         auto &qry = queries_[id];
         if (!qry.live || number >= qry.sent || !qry.out)
             return;
@@ -96,7 +97,7 @@
         if (!queries_[id].out)
             release(id);
     }
-    void probed(double, index, bool) override {}
+    void probed(double, index, bool, const load_report &) override {}
     void woken(double now) override {
         wake(now);
         if (now >= ask_at_) {
--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -43,23 +43,23 @@
     return made;
 }
 
-catalog::catalog(const configuration &given, desk &decides, upstream &servers, counters &count, log &lines)
-    : given_(given), desk_(decides), upstream_(servers), counters_(count), log_(lines),
-      where_(parse_address(given.discovery)), buffer_(list_limit) {
+catalog::catalog(desk &decides, upstream &servers, counters &count, log &lines)
+    : desk_(decides), upstream_(servers), counters_(count), log_(lines), given_(decides.given()),
+      where_(parse_address(given_->discovery)), buffer_(list_limit) {
     if (!where_)
         throw bad_text{"discovery has no usable address"};
 }
 
 void catalog::use_known() {
     try {
-        if (given_.known.is == json::kind::object)
-            tell(read_list(given_.known, given_), list_kind::cached);
+        if (given_->known.is == json::kind::object)
+            tell(read_list(given_->known, *given_), list_kind::cached);
     } catch (const bad_text &bad) { // discovery's own list is on its way
         log_.warning("list-unusable known=1 reason=", bad.why);
     }
 }
 
-void catalog::tell(const server_list &list, list_kind kind) {
+void catalog::tell(const server_list &list, list_kind kind, std::shared_ptr<const configuration> next) {
     std::vector<list_entry> entries;
     for (const auto &each : list.items) {
         if (each.as.state == listing::gone && !index_of_.contains(each.id))
@@ -71,7 +71,10 @@
         entries.back().server = at;
         entries.back().id = each.id;
     }
-    desk_.listed(kind, entries);
+    if (next)
+        desk_.adopt(std::move(next), entries);
+    else
+        desk_.listed(kind, entries);
     bury(list, kind);
 }
 
@@ -123,16 +126,11 @@
                                    const std::function<bool()> &over) {
     if (socket_ && peek(socket_) != waiting::nothing)
         end_connection("stale");
-    address where;
-    {
-        const std::lock_guard hold(lock_);
-        where = *where_;
-    }
     if (!socket_)
-        socket_ = dial(where, given_.list_limit);
+        socket_ = dial(*where_, given_->list_limit);
     if (!socket_)
         return std::nullopt;
-    const std::string asks = "GET " + target + " HTTP/1.1\r\nHost: " + to_text(where) + "\r\n\r\n";
+    const std::string asks = "GET " + target + " HTTP/1.1\r\nHost: " + to_text(*where_) + "\r\n\r\n";
     http_reader reader(buffer_, http_reader::side::answer);
     std::optional<json> made;
     if (exchange(socket_, asks, reader, limit, over) && reader.head().status == 200)
@@ -149,21 +147,29 @@
     log_.info("connection-end side=discovery reason=", reason);
 }
 
-void catalog::move_to(const address &where) {
+void catalog::move_to(std::shared_ptr<const configuration> next) {
+    if (!parse_address(next->discovery))
+        throw bad_text{"discovery has no usable address"};
     {
         const std::lock_guard hold(lock_);
-        where_ = where;
+        next_ = std::move(next);
     }
     moved_.store(true);
 }
 
 void catalog::run(const std::function<bool()> &over) {
     bool watching = false;
+    std::shared_ptr<const configuration> next; // waits for its list
     const auto cut = [&] { return over() || moved_.load(); };
     while (!over()) {
         // Guards against a watch at the old address, which tells nothing any more and ends in silence.
         if (moved_.exchange(false)) {
             end_connection("moved");
+            {
+                const std::lock_guard hold(lock_);
+                next = given_ = std::exchange(next_, nullptr);
+            }
+            where_ = parse_address(given_->discovery);
             watching = false;
             asked_.store(true);
         }
@@ -173,18 +179,24 @@
         }
         const std::string target =
             watching ? "/catalog/members?since=" + std::to_string(revision_) +
-                           "&timeout_ms=" + std::to_string(static_cast<int>(given_.watch_wait * 1000))
+                           "&timeout_ms=" + std::to_string(static_cast<int>(given_->watch_wait * 1000))
                      : "/catalog/members";
         bool told = false;
         try {
             if (const auto answer =
-                    fetch(target, (watching ? given_.watch_wait : 0) + given_.list_limit, cut)) {
-                const server_list list = read_list(*answer, given_);
+                    fetch(target, (watching ? given_->watch_wait : 0) + given_->list_limit, cut)) {
+                const server_list list = read_list(*answer, *given_);
+                // Guards the switch: what is not whole leaves servers known by the old names.
+                if (next && !list.whole)
+                    throw bad_text{"the first list after a reload is not whole"};
                 revision_ = list.revision;
                 counters_.add(count::lists);
                 // An empty answer to a watch tells the router nothing.
                 if (list.whole || !list.items.empty())
-                    tell(list, list.whole ? list_kind::whole : list_kind::changes);
+                    tell(list, list.whole ? list_kind::whole : list_kind::changes, next);
+                if (next && on_adopted)
+                    on_adopted(*next);
+                next = nullptr;
                 told = true;
             }
         } catch (const bad_text &bad) {
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -28,30 +28,32 @@
 
 class catalog {
 public:
-    catalog(const configuration &given, desk &decides, upstream &servers, counters &count, log &lines);
+    catalog(desk &decides, upstream &servers, counters &count, log &lines);
 
     void use_known(); // the list that the configuration brought
     void ask() { asked_.store(true); }
-    // Discovery is at another address now. The list stands until that one has told its own; the follower's
-    // thread is to be called after this.
-    void move_to(const address &where);
-    void run(const std::function<bool()> &over);          // the thread's
-    bool ready() const { return ready_.load(); }          // discovery has answered, or has not in time
-    std::size_t places() const { return places_.load(); } // indices ever in use at a time
+    // Another configuration: its discovery is asked for the whole list, by whose coming both take force in
+    // one step; until then list and configuration stand. The follower's thread is to be called after this.
+    void move_to(std::shared_ptr<const configuration> next);
+    std::function<void(const configuration &)> on_adopted; // called by the follower's thread
+    void run(const std::function<bool()> &over);           // the thread's
+    bool ready() const { return ready_.load(); }           // discovery has answered, or has not in time
+    std::size_t places() const { return places_.load(); }  // indices ever in use at a time
 
 private:
     std::optional<json> fetch(const std::string &target, double limit, const std::function<bool()> &over);
     void end_connection(const char *reason);
-    void tell(const server_list &list, list_kind kind);
+    void tell(const server_list &list, list_kind kind, std::shared_ptr<const configuration> next = nullptr);
     index index_for(const std::string &id);
     void bury(const server_list &list, list_kind kind);
 
-    const configuration &given_;
     desk &desk_;
     upstream &upstream_;
     counters &counters_;
     log &log_;
-    std::mutex lock_; // of where_
+    std::mutex lock_;                            // of next_
+    std::shared_ptr<const configuration> next_;  // to be adopted; null: none
+    std::shared_ptr<const configuration> given_; // by which lists are read now; the follower's thread's own
     std::optional<address> where_;
     tcp_socket socket_; // to discovery
     std::vector<char> buffer_;
--- a/src/proxy/desk.cpp
+++ b/src/proxy/desk.cpp
@@ -15,9 +15,14 @@
 
 } // namespace
 
-desk::desk(const settings &given, std::uint32_t seed, router_maker made_by)
-    : unix_start_(unix_now()), steady_start_(steady_now()), router_(made_by(given, seed, now())),
-      wake_at_(unix_start_) {}
+desk::desk(std::shared_ptr<const configuration> given, router_maker made_by)
+    : unix_start_(unix_now()), steady_start_(steady_now()), given_(std::move(given)),
+      router_(made_by(given_->decisions, given_->seed, now())), wake_at_(unix_start_) {}
+
+std::shared_ptr<const configuration> desk::given() {
+    const std::lock_guard hold(lock_);
+    return given_;
+}
 
 double desk::now() const {
     return unix_start_ + (steady_now() - steady_start_);
@@ -82,8 +87,13 @@
     router_->actions.clear();
 }
 
-void desk::arrived(ticket &of, new_query from) {
+bool desk::arrived(ticket &of, new_query from, const std::shared_ptr<const configuration> &by) {
+    bool taken = false;
     tell([&](double now) {
+        // Guards against an index into lists of names that are no longer in force.
+        if (by != given_)
+            return;
+        taken = true;
         if (free_.empty()) {
             free_.push_back(static_cast<index>(tickets_.size()));
             tickets_.push_back(nullptr);
@@ -94,6 +104,7 @@
         tickets_[from.query] = &of;
         router_->arrived(now, from);
     });
+    return taken;
 }
 
 orders desk::look(ticket &of) {
@@ -134,15 +145,28 @@
     return of.query_ == none;
 }
 
+void desk::make_places(std::span<const list_entry> entries) {
+    for (const auto &each : entries)
+        if (each.server >= refers_.size())
+            refers_.resize(each.server + 1);
+}
+
 void desk::listed(list_kind kind, std::span<const list_entry> entries) {
     tell([&](double now) {
-        for (const auto &each : entries)
-            if (each.server >= refers_.size())
-                refers_.resize(each.server + 1);
+        make_places(entries);
         router_->listed(now, kind, entries);
     });
 }
 
+void desk::adopt(std::shared_ptr<const configuration> next, std::span<const list_entry> entries) {
+    tell([&](double now) {
+        make_places(entries);
+        given_ = std::move(next);
+        router_->adopt(now, given_->decisions);
+        router_->listed(now, list_kind::whole, entries);
+    });
+}
+
 void desk::probed(index server, std::optional<bool> answered) {
     tell([&](double now) {
         --refers_[server];
--- a/src/proxy/desk.hpp
+++ b/src/proxy/desk.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "net/threads.hpp"
+#include "proxy/settings.hpp"
 #include "router/router.hpp"
 
 #include <functional>
@@ -37,7 +38,12 @@
 
 class desk {
 public:
-    desk(const settings &given, std::uint32_t seed, router_maker made_by = make_router);
+    desk(std::shared_ptr<const configuration> given, router_maker made_by = make_router);
+
+    // The configuration in force. It may change between two calls; a copy of the pointer stays as it is.
+    std::shared_ptr<const configuration> given();
+    // Another one is in force from now on, and the whole list as read by it: both in one step.
+    void adopt(std::shared_ptr<const configuration> next, std::span<const list_entry> entries);
 
     double now() const; // Unix time, s; goes forward only
 
@@ -46,7 +52,8 @@
     std::function<void()> on_subscribe;
 
     // For the thread that sees the query through: every ticket that arrived must end as finished() says.
-    void arrived(ticket &of, new_query from);
+    // False, and nothing done, where another configuration is in force than the one it was read by.
+    bool arrived(ticket &of, new_query from, const std::shared_ptr<const configuration> &by);
     orders look(ticket &of); // a send is handed out once, and is running from then on
     void ended(ticket &of, outcome result, bool fetched);
     void dropped(ticket &of, outcome result); // as ended(), and the query has had its final answer
@@ -61,10 +68,12 @@
 private:
     template <typename What> void tell(What what);
     void hand_out(std::vector<index> &probes, bool &subscribes);
+    void make_places(std::span<const list_entry> entries);
 
     const double unix_start_;
     const double steady_start_;
     std::mutex lock_;
+    std::shared_ptr<const configuration> given_;
     std::unique_ptr<router> router_;
     std::vector<ticket *> tickets_; // by the router's index
     std::vector<index> free_;
--- a/src/proxy/probe.cpp
+++ b/src/proxy/probe.cpp
@@ -8,6 +8,7 @@
 namespace harrierpass::proxy {
 namespace {
 
+constexpr double dials = 2;  // dial limits, in which a probe has its answer
 constexpr int most_out = 16; // probes; a lost zone's servers at a time, and few descriptors
 
 } // namespace
@@ -48,8 +49,8 @@
     }
     const auto buffer = buffers_.take();
     http_reader reader(whole(buffer), http_reader::side::answer);
-    const bool whole_answer =
-        exchange(to.socket, "GET /ping HTTP/1.1\r\nHost: probe\r\n\r\n", reader, limit_);
+    const bool whole_answer = exchange(to.socket, "GET /ping HTTP/1.1\r\nHost: probe\r\n\r\n", reader,
+                                       dials * desk_.given()->dial_limit);
     const bool answered = whole_answer && reader.head().status == 200;
     if (answered)
         counters_.add(count::probes_answered);
--- a/src/proxy/probe.hpp
+++ b/src/proxy/probe.hpp
@@ -13,10 +13,8 @@
 
 class prober {
 public:
-    prober(const configuration &given, desk &decides, upstream &servers, buffer_pool &buffers,
-           counters &count)
-        : limit_(2 * given.dial_limit), desk_(decides), upstream_(servers), buffers_(buffers),
-          counters_(count) {}
+    prober(desk &decides, upstream &servers, buffer_pool &buffers, counters &count)
+        : desk_(decides), upstream_(servers), buffers_(buffers), counters_(count) {}
     ~prober(); // waits for those that are out
 
     void start(index server);
@@ -25,7 +23,6 @@
     bool probe(index server);
     void over(index server, std::optional<bool> answered);
 
-    const double limit_; // s for the answer
     desk &desk_;
     upstream &upstream_;
     buffer_pool &buffers_;
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -57,6 +57,7 @@
     engine &with_;
     client &from_;
     ticket ticket_;
+    std::shared_ptr<const configuration> given_; // by which the query was understood
     open_ids::holder id_;
     buffer_pool::lease buffer_; // the query's
     bool arrived_ = false;
@@ -88,11 +89,11 @@
         return done(answer(with_.ready() && !with_.draining() ? 200 : 503, {}, {}));
     if (asked.head().method != "GET" && asked.head().method != "PUT")
         return done(refuse(405, "Allow: GET, PUT\r\n", "a query is a GET or a PUT\n"));
-    auto wanted = understand(asked.head(), with_.given);
+    given_ = desk.given();
+    auto wanted = understand(asked.head(), *given_);
     if (wanted.fault != nullptr)
         return done(refuse(400, {}, wanted.fault));
-    wanted.made.statement_end = statement_end_ = std::min(desk.now() + wanted.patience, stop_by());
-    stall_limit_ = with_.given.decisions.use_cases[wanted.made.use_case].slo_time * stall_share;
+    const double came = desk.now();
     // Guards "no effect twice" and whoever asked first: two with one id cannot be told apart at the servers.
     if (!(id_ = with_.ids.take(std::string(asked.head().value("X-Request-Id")))))
         return done(refuse(409, {}, "a query with this X-Request-Id is open\n"));
@@ -100,12 +101,22 @@
     if (from_.crowded) {
         count.add(count::crowded_out);
         keeps_ = false;
-        return done(answer(503, come_back_in(with_.given.decisions.allow.max_advice), {}));
+        return done(answer(503, come_back_in(given_->decisions.allow.max_advice), {}));
     }
+    const auto bounded = [&] {
+        wanted.made.statement_end = statement_end_ = std::min(came + wanted.patience, stop_by());
+        stall_limit_ = given_->decisions.use_cases[wanted.made.use_case].slo_time * stall_share;
+    };
 
     buffer_pool::lease space; // for the server's answer, from the first execution on
+    // Guards a query that crosses a switch of the configuration: it is understood anew, by the one in force.
+    for (bounded(); !desk.arrived(ticket_, wanted.made, given_); bounded()) {
+        given_ = desk.given();
+        wanted = understand(asked.head(), *given_);
+        if (wanted.fault != nullptr)
+            return done(refuse(400, {}, wanted.fault));
+    }
     arrived_ = true;
-    desk.arrived(ticket_, wanted.made);
     for (bool gone = false;;) {
         const orders now = desk.look(ticket_);
         if (now.what == orders::kind::reject || now.what == orders::kind::abort) {
@@ -267,7 +278,7 @@
         state = read_into(answer, to.socket);
         heard = desk.now();
         if (state == http_reader::state::whole)
-            come = {outcome_of(answer.head(), with_.given.decisions.origin_kind != none), nullptr};
+            come = {outcome_of(answer.head(), desk.given()->decisions.origin_kind != none), nullptr};
         else if (state == http_reader::state::cut)
             come = {outcome::reset, "reset"};
         else if (state != http_reader::state::more) { // guards the server's good name: it did answer
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -16,7 +16,6 @@
 
 // What all queries share.
 struct engine {
-    const configuration &given;
     desk &decides;
     upstream &servers;
     buffer_pool &buffers;
@@ -26,7 +25,7 @@
     open_ids ids = {};
     std::atomic<double> drain_at = forever * 10; // Unix time, s, when the planned end began
     std::atomic<double> close_at = forever * 10; // likewise, from when on clients' connections close
-    double last_answer = 3.2;                    // s after drain_at by which all is answered
+    std::atomic<double> last_answer = 3.2;       // s after drain_at by which all is answered
 
     bool draining() const { return decides.now() >= drain_at.load(); }
     bool closing() const { return decides.now() >= close_at.load(); }
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -49,15 +49,25 @@
 } // namespace
 
 service::service(configuration given, std::ostream &log_to, level least, router_maker decides)
-    : given_(std::move(given)), log_(log_to, least), desk_(given_.decisions, given_.seed, decides),
+    : given_(std::move(given)), log_(log_to, least),
+      desk_(std::make_shared<const configuration>(given_), decides),
       upstream_(given_.dial_limit, given_.idle_limit, usable_sockets(given_), counters_, log_),
-      catalog_(given_, desk_, upstream_, counters_, log_),
-      prober_(given_, desk_, upstream_, buffers_, counters_),
-      engine_{given_, desk_, upstream_, buffers_, counters_, log_, [this] { return catalog_.ready(); }} {
+      catalog_(desk_, upstream_, counters_, log_),
+      prober_(desk_, upstream_, buffers_, counters_), engine_{desk_,    upstream_,
+                                                              buffers_, counters_,
+                                                              log_,     [this] { return catalog_.ready(); }} {
     mallopt(M_ARENA_MAX, 2); // guards the memory limit: an arena for each thread would hold on to much
     engine_.last_answer = std::min(longest_statement(given_), most_wait) + end_margin;
     desk_.on_probe = [this](index server) { prober_.start(server); };
     desk_.on_subscribe = [this] { catalog_.ask(); };
+    catalog_.on_adopted = [this](const configuration &now) {
+        upstream_.use_limits(now.dial_limit, now.idle_limit);
+        engine_.last_answer = std::min(longest_statement(now), most_wait) + end_margin;
+        counters_.add(count::adopted);
+        log_.info("adopted discovery=", now.discovery, " use-cases=", now.use_cases.size(),
+                  " peers=", now.decisions.peers,
+                  " origin=", now.decisions.origin_kind != none ? "aside" : "through");
+    };
     const auto where = parse_address(given_.listen);
     if (!where)
         throw bad_text{"the address to listen on is not usable"};
@@ -102,12 +112,13 @@
 }
 
 void service::reload(const configuration &next) {
-    const auto where = parse_address(next.discovery);
-    if (!where)
-        throw bad_text{"discovery has no usable address"};
-    catalog_.move_to(*where);
+    // What the process was started with stays: its address, name, seed and room.
+    if (next.listen != given_.listen || next.name != given_.name || next.sockets != given_.sockets ||
+        next.memory_mb != given_.memory_mb)
+        log_.warning("reload-partial reason=listen, name and limits need a restart");
+    catalog_.move_to(std::make_shared<const configuration>(next));
     call(follower_->id());
-    log_.info("reloaded discovery=", to_text(*where));
+    log_.info("reloaded discovery=", next.discovery);
 }
 
 service::~service() {
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -87,6 +87,12 @@
     made.tenants = names_in(*given, "tenants", "name");
     made.zones = names_in(*given, "zones", "name");
     made.kinds = names_in(*given, "shapes", "name");
+    // Guards against a place that is in no list: no server would ever be own, or the origin.
+    if (made.decisions.own_zone != none && !made.zones.empty() &&
+        made.decisions.own_zone >= made.zones.size())
+        throw bad_text{"settings.locality is none of settings.zones"};
+    if (paths.text("familyInfo.mode") == "aside" && made.decisions.origin_kind >= made.kinds.size())
+        throw bad_text{"settings.familyInfo.originKind is none of settings.shapes"};
     for (index i = 0; i < made.use_cases.size(); ++i)
         made.statement_timeouts.push_back(
             paths.seconds("useCases." + std::to_string(i) + ".statementTimeoutMs", 1));
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -7,6 +7,7 @@
 #include "net/sockets.hpp"
 #include "router/types.hpp"
 
+#include <atomic>
 #include <deque>
 #include <mutex>
 #include <vector>
@@ -28,6 +29,11 @@
     upstream(double dial_limit, double idle_limit, std::size_t most, counters &count, log &lines)
         : dial_limit_(dial_limit), idle_limit_(idle_limit), most_(most), counters_(count), log_(lines) {}
 
+    // Other limits from now on, s; for connections that idle, too.
+    void use_limits(double dial, double idle) {
+        dial_limit_ = dial;
+        idle_limit_ = idle;
+    }
     // So many descriptors are clients' now; what is kept beyond the rest ends.
     void leave_to_clients(std::size_t count, double now);
     // Where a server is. The index may have been another's, to which nothing refers any more.
@@ -55,7 +61,7 @@
     bool stale(const server_connection &one, const site &to, double now) const;
     void close(ended &those, double now);
 
-    const double dial_limit_, idle_limit_;
+    std::atomic<double> dial_limit_, idle_limit_;
     const std::size_t most_;
     counters &counters_;
     log &log_;
--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -45,7 +45,8 @@
     bool live = false; // until the front may use its index again
     stage at = stage::over;
     bool write = false, excess = false, to_origin = false, leads = false, follows = false;
-    index use_case = 0, generation = 0;
+    index generation = 0;
+    use_case use; // as the settings had it when the query came
     std::uint64_t key = 0, hash = 0;
     bool has_key = false, hot = false; // hot: its key alone is more than a server's fair share
     double end = 0, hold_end = 0;
@@ -101,22 +102,18 @@
 
 // All that one router knows: what its settings came to, and what it saw.
 struct memory {
-    memory(const settings &given, std::uint32_t seed, double now)
-        : now_(now), chance_(seed), use_cases_(given.use_cases), allow_(given.allow), cold_(given.cold),
-          peers_(given.peers), excess_importance_(given.excess_importance), origin_kind_(given.origin_kind),
-          own_zone_(given.cross_price > given.origin_price ? given.own_zone : none),
-          cross_price_(own_zone_ == none ? 0 : given.cross_price) {}
+    memory(std::uint32_t seed, double now) : now_(now), chance_(seed) {}
 
     double now_;
     std::minstd_rand chance_;
     std::vector<use_case> use_cases_;
     allowances allow_;
     cold_rule cold_;
-    double peers_, excess_importance_;
+    double peers_ = 1, excess_importance_ = 1;
     double end_margin_ = 0; // s before the statement timeout at which a query gets its final answer
-    index origin_kind_;
-    index own_zone_;     // whose servers go first; none: nowhere
-    double cross_price_; // of an answer's worth
+    index origin_kind_ = none;
+    index own_zone_ = none;  // whose servers go first; none: nowhere
+    double cross_price_ = 0; // of an answer's worth
     index origin_ = none;
 
     std::vector<tenant_share> tenants_;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -29,14 +29,14 @@
 constexpr double sweep_period = 0.05;   // s; short beside any SLO time, cheap at 20 a second
 constexpr double start_cap = 8;         // executions of all proxies at a warm server not yet known
 constexpr double cold_cap = 1;          // executions; the least that still learns
-constexpr double cold_haste = 1.4;   // times its warmth; the part of its keys' queries that a cold server takes
+constexpr double cold_haste = 1.4; // times its warmth; the part of its keys' queries that a cold server takes
 constexpr double least_cap = 2;    // executions of all proxies; a limit never shuts a server off
 constexpr index nobody = none - 1; // where no server may take a query, now or later
 constexpr double cut_share = 0.7;  // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.4; // of the SLO time; the rest is left for the way and a second try
 constexpr double origin_share = 0.6;
-constexpr double origin_room = 32; // queries in hand at the origin; more are told only where it jams
-constexpr double base_factor = 2;  // times the origin's answer time at its least load; then queues
+constexpr double origin_room = 32;     // queries in hand at the origin; more are told only where it jams
+constexpr double base_factor = 2;      // times the origin's answer time at its least load; then queues
 constexpr double quick_share = 0.15;   // of the SLO time; so quick a server has room to spare
 constexpr double all_slow_share = 0.6; // of the SLO time; over one server's, as some are slow of themselves
 constexpr double all_weight = 0.1;     // of a new answer in the mean of all servers; the last ten
@@ -62,16 +62,9 @@
 
 class core final : public router, private memory {
 public:
-    core(const settings &given, std::uint32_t seed, double now) : memory(given, seed, now) {
-        auto by_time = use_cases_;
-        std::ranges::sort(by_time, {}, &use_case::slo_time);
-        shortest_ = by_time.front().slo_time;
-        const double middle = by_time[(by_time.size() - 1) / 2].slo_time;
-        mean_answer_ = middle * slow_share / 2;
-        least_silent_ = middle * silent_share;
-        end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
-        for (double quota : given.tenant_quota)
-            tenants_.push_back({quota / peers_, std::max(tenant_burst, quota / peers_), now});
+    core(const settings &given, std::uint32_t seed, double now) : memory(seed, now) {
+        take(given);
+        mean_answer_ = least_silent_ / silent_share * slow_share / 2;
         repeats_ = repeat_burst;
         own_part_ = chance();
         call_gap_ = first_call_gap;
@@ -81,6 +74,39 @@
         actions.push_back({action_kind::wake, none, none, 0, now + sweep_period});
     }
 
+    // Settings and the figures that follow from them; what was learned stays.
+    void take(const settings &given) {
+        use_cases_ = given.use_cases;
+        allow_ = given.allow;
+        cold_ = given.cold;
+        peers_ = given.peers;
+        excess_importance_ = given.excess_importance;
+        origin_kind_ = given.origin_kind;
+        own_zone_ = given.cross_price > given.origin_price ? given.own_zone : none;
+        cross_price_ = own_zone_ == none ? 0 : given.cross_price;
+        auto by_time = use_cases_;
+        std::ranges::sort(by_time, {}, &use_case::slo_time);
+        shortest_ = by_time.front().slo_time;
+        least_silent_ = by_time[(by_time.size() - 1) / 2].slo_time * silent_share;
+        end_margin_ = std::max(sweep_period, given.tick) + 2 * given.tick;
+        tenants_.clear();
+        for (const double quota : given.tenant_quota)
+            tenants_.push_back({quota / peers_, std::max(tenant_burst, quota / peers_), now_});
+    }
+
+    // Guards queries in hand against other settings: each keeps its use case, its end and what it was sent
+    // to. The whole list follows, by whose kinds and zones the servers are then known.
+    void adopt(double now, const settings &given) override {
+        now_ = now;
+        take(given);
+        all_.least = least_cap / peers_;
+        for (auto &srv : servers_)
+            srv.lim.least = least_cap / peers_;
+        for (auto &qry : queries_)
+            if (qry.live)
+                qry.to_origin = origin_kind_ != none && (qry.to_origin || qry.write);
+    }
+
     // Reads a table: the row for a state and an input moves the state on and says what is done.
     template <typename Table, typename Record, typename Input>
     Input follow(const Table &table, Record &record, index id, Input in) {
@@ -103,6 +129,21 @@
 
     // ---- Ring and walk
 
+    // Which server is the origin, as other settings may name another kind, and what is in flight elsewhere.
+    void recount() {
+        if (origin_ != none && !is_origin(servers_[origin_]))
+            origin_ = none;
+        for (index id = 0; id < servers_.size(); ++id) {
+            auto &srv = servers_[id];
+            srv.lim.target = is_origin(srv) ? origin_share : slow_share;
+            if (is_origin(srv) && (origin_ == none || srv.as.state != listing::gone))
+                origin_ = id;
+        }
+        total_in_flight_ = 0;
+        for (index id = 0; id < servers_.size(); ++id)
+            total_in_flight_ += id == origin_ ? 0 : servers_[id].in_flight;
+    }
+
     // Guards against hashing and sorting a large ring anew at every change: points that stay are left alone.
     void relay() {
         on_ring_.clear();
@@ -155,8 +196,8 @@
     // Guards "no cold server pushed over": it takes part of its keys by its warmth, and part of their queries
     // by twice that, so that what all proxies send it keeps under what it can do whatever their number.
     bool has_room(const server &srv, const query &qry) const {
-        // Guards against an origin left alone for want of news: what cut its limit is soon forgotten. But where
-        // it said that it holds much, not by all of many proxies at once.
+        // Guards against an origin left alone for want of news: what cut its limit is soon forgotten. But
+        // where it said that it holds much, not by all of many proxies at once.
         const double forgot = is_origin(srv) ? (1 - std::exp((srv.lim.heard_at - now_) / trust_memory)) *
                                                    std::min(1.0, origin_room / std::max(1.0, srv.told))
                                              : 0;
@@ -168,7 +209,7 @@
         const auto &srv = servers_[id];
         return srv.at != health::suspect || mass_doubt_ ||
                (!allow_.may_probe && now_ >= srv.trial_at && srv.in_flight == 0 && qry.executions.empty() &&
-                use_cases_[qry.use_case].effect == effect_kind::idempotent);
+                qry.use.effect == effect_kind::idempotent);
     }
 
     // Walks left from a query's position and collects the first distinct servers that may take it; those in
@@ -222,7 +263,8 @@
                 continue;
             if (srv.in_flight + 1 <= most && told(srv) <= spill_factor * mean_told_)
                 return id;
-            if (best >= nobody || std::pair(srv.in_flight + 1 > most, told(srv)) < std::pair(servers_[best].in_flight + 1 > most, told(servers_[best])))
+            if (best >= nobody || std::pair(srv.in_flight + 1 > most, told(srv)) <
+                                      std::pair(servers_[best].in_flight + 1 > most, told(servers_[best])))
                 best = id;
         }
         return best;
@@ -232,7 +274,7 @@
 
     // Guards "no effect twice" for every send after the first and, with no server, for a rejection.
     bool may_go(const query &qry, index id) const {
-        const auto &use = use_cases_[qry.use_case];
+        const auto &use = qry.use;
         const auto doubt = // the earliest execution that is still out or may have run
             std::find_if(qry.executions.begin(), qry.executions.end(),
                          [](const execution &each) { return each.open || !never_ran(each.result); });
@@ -256,7 +298,8 @@
         if (qry.executions.size() >= allow_.max_executions || now_ >= qry.end)
             return input::hopeless;
         // Guards against a miss on the last execution allowed, which nobody could fetch any more.
-        qry.to_origin = qry.to_origin || (origin_ != none && qry.executions.size() > 0 && qry.executions.size() + 1 == allow_.max_executions);
+        qry.to_origin = qry.to_origin || (origin_ != none && qry.executions.size() > 0 &&
+                                          qry.executions.size() + 1 == allow_.max_executions);
         const index to = choose(qry);
         if (to == none || to == nobody)
             return to == none ? input::wait : input::hopeless;
@@ -307,8 +350,7 @@
 
     input repeat(index id) {
         const auto &qry = queries_[id];
-        if (repeats_ < 1 || (qry.to_origin && !qry.write) ||
-            use_cases_[qry.use_case].effect == effect_kind::non_idempotent)
+        if (repeats_ < 1 || (qry.to_origin && !qry.write) || qry.use.effect == effect_kind::non_idempotent)
             return input::hopeless;
         --repeats_;
         return input::go;
@@ -319,7 +361,7 @@
         auto &qry = queries_[id];
         if (origin_ == none)
             return input::hopeless;
-        const double until = now_ + use_cases_[qry.use_case].slo_time * hold_share;
+        const double until = now_ + qry.use.slo_time * hold_share;
         qry.hold_end = std::max(qry.hold_end, std::min(until, qry.end));
         if (qry.has_key && fetches_.contains(qry.key) && qry.executions.size() + 2 <= allow_.max_executions) {
             qry.follows = true;
@@ -333,7 +375,7 @@
     // The server holding this query is suspect: try elsewhere, beside it where copies are allowed.
     input rescue(index id) {
         auto &qry = queries_[id];
-        if (use_cases_[qry.use_case].effect == effect_kind::non_idempotent || qry.open > 1 || repeats_ < 1 ||
+        if (qry.use.effect == effect_kind::non_idempotent || qry.open > 1 || repeats_ < 1 ||
             qry.executions.size() >= allow_.max_executions || now_ >= qry.end)
             return input::nothing;
         if (!allow_.second_copies) {
@@ -389,7 +431,7 @@
         qry.at = stage::held;
         qry.write = from.write;
         qry.to_origin = from.write && origin_kind_ != none;
-        qry.use_case = from.use_case;
+        qry.use = use_cases_[from.use_case];
         qry.has_key = from.has_key;
         qry.key = from.key;
         const std::uint64_t key = from.has_key ? from.key : (std::uint64_t{chance_()} << 31) + chance_();
@@ -400,7 +442,7 @@
             ring_hash(std::to_string(key) + (at > 0 ? std::string("/").append(std::to_string(at)) : ""));
         qry.end = from.statement_end - end_margin_;
         qry.luck = chance();
-        qry.hold_end = now + hold_share * std::min(use_cases_[qry.use_case].slo_time, qry.end - now);
+        qry.hold_end = now + hold_share * std::min(qry.use.slo_time, qry.end - now);
         repeats_ = std::min(repeat_burst, repeats_ + repeat_share);
         if (from.tenant < tenants_.size()) {
             auto &share = tenants_[from.tenant];
@@ -410,7 +452,7 @@
             qry.excess = share.rate > 0 && share.tokens < 1;
             share.tokens -= qry.excess ? 0 : 1;
         }
-        qry.worth = use_cases_[qry.use_case].importance * (qry.excess ? excess_importance_ : 1);
+        qry.worth = qry.use.importance * (qry.excess ? excess_importance_ : 1);
         due_.push({qry.end, from.query, generation});
         feed(from.query, input::arrives);
     }
@@ -427,7 +469,7 @@
         run.result = result;
         --qry.open;
         took(srv);
-        const double elapsed = now - run.sent, share = elapsed / use_cases_[qry.use_case].slo_time;
+        const double elapsed = now - run.sent, share = elapsed / qry.use.slo_time;
         const bool answered = is_answer(result);
         heard(srv, told);
         if (answered)
@@ -489,7 +531,8 @@
         if (lim.slow <= std::max(lim.target, base_factor * lim.base)) {
             lim.cap += reached ? 1 / std::max(1.0, lim.cap * lim.parts) / lim.parts : 0;
         } else {
-            lim.cap = std::max(lim.least, std::min(lim.cap, (held + 1) / lim.parts) * std::min(cut_share, lim.target / lim.slow));
+            lim.cap = std::max(lim.least, std::min(lim.cap, (held + 1) / lim.parts) *
+                                              std::min(cut_share, lim.target / lim.slow));
             lim.cut_at = now_;
         }
     }
@@ -526,7 +569,8 @@
     // Old news is drawn to the mean. Guards a cold server against what crowded ones are spared: it counts for
     // what it can do.
     double told(const server &srv) const {
-        const double held = mean_told_ + (srv.told - mean_told_) * std::exp((srv.told_at - now_) / news_memory);
+        const double held =
+            mean_told_ + (srv.told - mean_told_) * std::exp((srv.told_at - now_) / news_memory);
         return held / warmth(srv);
     }
 
@@ -612,15 +656,14 @@
             srv.as.id = {}; // it is the caller's
             const double points = (allow_.weights_live ? 1 : entry.weight) * points_per_weight;
             srv.points = static_cast<index>(std::clamp(std::round(points), 1.0, most_points));
-            if (is_origin(srv)) {
-                origin_ = entry.server;
-                srv.lim.target = origin_share;
-            } else if ((restarted || (fresh && (kind == list_kind::changes || !on_ring_.empty()))) &&
-                     now - entry.started < cold_.warm_time) {
+            if (!is_origin(srv) &&
+                (restarted || (fresh && (kind == list_kind::changes || !on_ring_.empty()))) &&
+                now - entry.started < cold_.warm_time) {
                 feel(entry.server, sign::reborn);
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
             }
         }
+        recount();
         relay();
         refresh();
         drain();
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -22,6 +22,10 @@
     virtual void left(double now, index qry) = 0;  // the client went; nothing more is owed
     virtual void probed(double now, index server, bool answered, const load_report &told = {}) = 0;
     virtual void woken(double now) = 0;
+    // Other settings hold from now on, also for the queries in hand, which keep their use case and end. The
+    // whole list, read by them, follows in the next call. What only compares itself with the router need not
+    // follow.
+    virtual void adopt(double, const settings &) {}
 
     std::vector<action> actions; // what the last calls decided, in order; the caller empties it
 };
--- a/src/setup/setup.cpp
+++ b/src/setup/setup.cpp
@@ -2,19 +2,34 @@
 #include "setup/setup.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 namespace harrierpass {
 
-using std::string_view;
-
 string_view pairs::text(const std::string &path) const {
     const auto found = values_.find(path);
     return found == values_.end() ? string_view{} : string_view(found->second);
 }
 
+namespace {
+
+// Bounds of what a deployment may ask for; beyond them a unit was taken for another one.
+constexpr double longest = 86400;  // s
+constexpr double most_price = 100; // of an answer's worth
+
+double parsed(const std::string &path, string_view value) {
+    try {
+        return parse_number<double>(value, "");
+    } catch (const bad_text &) {
+        throw bad_text{"settings." + path + " is no number"};
+    }
+}
+
+} // namespace
+
 double pairs::number(const std::string &path, double absent) const {
     const string_view value = text(path);
-    return value.empty() || value == "-" ? absent : parse_number<double>(value, "a setting is no number");
+    return value.empty() || value == "-" ? absent : parsed(path, value);
 }
 
 index pairs::count(const std::string &path, index absent) const {
@@ -26,6 +41,23 @@
     return value < 0 ? none : static_cast<index>(value);
 }
 
+double pairs::within(const std::string &path, double absent, double least, double most) const {
+    const double value = number(path, absent);
+    if (value < least || value > most) {
+        std::ostringstream why;
+        why << "settings." << path << " is " << value << ", not from " << least << " to " << most;
+        throw bad_text{why.str()};
+    }
+    return value;
+}
+
+string_view pairs::one_of(const std::string &path, std::initializer_list<string_view> those) const {
+    const string_view value = text(path);
+    if (!value.empty() && std::ranges::find(those, value) == those.end())
+        throw bad_text{"settings." + path + " is '" + std::string(value) + "', which is not known"};
+    return value;
+}
+
 pairs read_pairs(string_view text) {
     pairs made;
     while (!text.empty()) {
@@ -45,42 +77,45 @@
     for (index i = 0; i < given.count("useCases.count", 0); ++i) {
         const std::string at = "useCases." + std::to_string(i) + ".";
         use_case use;
-        const string_view effect = given.text(at + "effect"), group = given.text(at + "group");
+        const string_view effect =
+            given.one_of(at + "effect", {"idempotent", "deduplicated", "at_most_once"});
+        const string_view group = given.one_of(at + "group", {"all", "zone", "cell"});
         use.effect = effect == "idempotent"     ? effect_kind::idempotent
                      : effect == "deduplicated" ? effect_kind::deduplicated
                                                 : effect_kind::non_idempotent;
         use.group = group == "all"    ? repeat_group::all
                     : group == "zone" ? repeat_group::zone
                                       : repeat_group::cell;
-        use.window = given.seconds(at + "windowMs", 0);
-        use.slo_time = std::max(0.001, given.seconds(at + "sloTimeMs", 1));
-        use.importance = given.number(at + "importance", 1);
-        use.tardy = given.number(at + "tardyImportance", 0);
+        use.window = given.seconds_within(at + "windowMs", 0, 0, longest);
+        use.slo_time = std::max(0.001, given.seconds_within(at + "sloTimeMs", 1, 0, longest));
+        use.importance = given.within(at + "importance", 1, 0, 1e9);
+        use.tardy = given.within(at + "tardyImportance", 0, 0, 1);
         to.use_cases.push_back(use);
     }
     if (to.use_cases.empty())
         throw bad_text{"settings without use cases"};
     for (index i = 0; i < given.count("tenants.count", 0); ++i)
-        to.tenant_quota.push_back(given.number("tenants." + std::to_string(i) + ".quotaRps", 0));
-    to.excess_importance = given.number("excessImportance", 1);
+        to.tenant_quota.push_back(given.within("tenants." + std::to_string(i) + ".quotaRps", 0, 0, 1e9));
+    to.excess_importance = given.within("excessImportance", 1, 0, 1);
     to.own_zone = given.count("locality", none);
-    to.cross_price = given.number("fees.crossZone", 0);
-    to.origin_price = given.number("fees.origin", 0);
+    to.cross_price = given.within("fees.crossZone", 0, 0, most_price);
+    to.origin_price = given.within("fees.origin", 0, 0, most_price);
     to.peers = std::max<index>(1, given.count("peersTotal", 1));
-    to.origin_kind =
-        given.text("familyInfo.mode") == "aside" ? given.count("familyInfo.originKind", none) : none;
-    to.allow.weights_live = given.text("weights") == "live";
-    to.allow.must_ask_in = given.seconds("rules.mustAskInMs", to.allow.must_ask_in);
-    to.allow.must_subscribe = given.text("discovery") == "subscribe";
+    to.origin_kind = given.one_of("familyInfo.mode", {"through", "aside"}) == "aside"
+                         ? given.count("familyInfo.originKind", none)
+                         : none;
+    to.allow.weights_live = given.one_of("weights", {"off", "nominal", "rough", "live"}) == "live";
+    to.allow.must_ask_in = given.seconds_within("rules.mustAskInMs", to.allow.must_ask_in, 0, longest);
+    to.allow.must_subscribe = given.one_of("discovery", {"automatic", "subscribe"}) == "subscribe";
     to.allow.second_copies = given.flag("limits.secondCopies");
     to.allow.may_cancel = given.flag("limits.cancel");
     to.allow.may_probe = given.flag("limits.probes");
     if (given.flag("limits.retryAfter"))
-        to.allow.max_advice = given.seconds("limits.maxRetryAfterMs", 0);
+        to.allow.max_advice = given.seconds_within("limits.maxRetryAfterMs", 0, 0, longest);
     to.allow.max_executions = given.count("limits.maxExecutions", 1);
-    to.tick = given.seconds("tickMs", 0.005);
-    to.cold.start_capacity = given.number("rules.startCapacity", 1);
-    to.cold.warm_time = given.seconds("rules.coldMs", 0);
+    to.tick = given.seconds_within("tickMs", 0.005, 0, 1);
+    to.cold.start_capacity = given.within("rules.startCapacity", 1, 0, 1);
+    to.cold.warm_time = given.seconds_within("rules.coldMs", 0, 0, longest);
     return to;
 }
 
--- a/src/setup/setup.hpp
+++ b/src/setup/setup.hpp
@@ -6,12 +6,15 @@
 #include "base/text.hpp"
 #include "router/types.hpp"
 
+#include <initializer_list>
 #include <map>
 #include <string>
 #include <string_view>
 
 namespace harrierpass {
 
+using std::string_view;
+
 // Paths and their texts. A list has its length under "path.count"; paths unknown here are never looked up.
 class pairs {
 public:
@@ -23,6 +26,13 @@
         return number(path, absent * 1000) / 1000;
     }
     index count(const std::string &path, index absent) const;
+    // As number() and seconds(); throws where what stands there is not from `least` to `most`.
+    double within(const std::string &path, double absent, double least, double most) const;
+    double seconds_within(const std::string &path, double absent, double least, double most) const {
+        return within(path, absent * 1000, least * 1000, most * 1000) / 1000;
+    }
+    // Throws where a text stands there that is none of those.
+    string_view one_of(const std::string &path, std::initializer_list<string_view> those) const;
 
 private:
     std::map<std::string, std::string, std::less<>> values_;
