New settings in a running program, both ways, in one step with their list; settings are checked

Need: the deployments that move have other peers, zones, use cases and an origin beside the caches; SIGHUP took only discovery's address. Now the file's settings are read and checked whole, discovery is asked for the whole list, and router, names and list change in one step under the desk's lock; until then all stand. Queries in hand keep their use case, end and executions; one that was understood by the old names is understood anew. The way back is the same. Ways weighed: a second router beside the first (limits and suspicions lost, two counts of one server), a restart. A setting out of bounds is named with its path and bounds; the defaults are as before.

--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -109,7 +109,8 @@
     }
 
     // TIME list KIND {NAME[/KIND][@ZONE][*STARTED][!|-]} | query ID USE [key=K] [tenant=T] [write] end=T
-    //   | end ID EXECUTION OUTCOME [over] | left ID | probed NAME 0/1 | wake [UNTIL]
+    //   | end ID EXECUTION OUTCOME [over] [held=N] | adopt NAME VALUE | left ID | probed NAME 0/1 | wake
+    //   [UNTIL]
     void event(std::istringstream &words) {
         double now = 0;
         std::string what, word;
@@ -153,11 +154,20 @@
         } else if (what == "end") {
             index query = 0, execution = 0;
             std::string over;
-            words >> query >> execution >> word >> over;
+            load_report told;
+            words >> query >> execution >> word;
+            for (std::string item; words >> item;)
+                if (item.starts_with("held="))
+                    told.held = std::stod(item.substr(5));
+                else
+                    over = item;
             const auto at = place({"completed", "error", "queue_full", "timed_out", "connect_error", "reset",
                                    "canceled", "ignored", "miss"},
                                   word);
-            router_->ended(now, query, execution, static_cast<outcome>(at), over == "over", false);
+            router_->ended(now, query, execution, static_cast<outcome>(at), over == "over", false, told);
+        } else if (what == "adopt") { // one more line of settings, by its words
+            set_up(words);
+            router_->adopt(now, settings_);
         } else if (what == "left") {
             index query = 0;
             words >> query;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -746,6 +746,89 @@
     CHECK(with.servers[0].count() == before);
     proxy.signal(SIGTERM);
     CHECK(proxy.status() == 0);
+    std::remove(path.c_str());
+}
+
+// Guards a move to another shape of deployment while queries are in hand: what was taken before is answered
+// once, what comes after goes by the new settings, a file that is no good changes nothing, and the way back
+// is alike.
+TEST_CASE("SIGHUP: other settings, and back") {
+    stand with({.replies = {"hold"}, .starts = false});
+    const std::string path = "switch_test.json";
+    const auto changed = [&](const std::string &from, const std::string &to) {
+        std::string made = with.config;
+        return made.replace(made.find(from), from.size(), to);
+    };
+    const std::string moved =
+        changed(R"("familyInfo":{})", R"("familyInfo":{"mode":"aside","originKind":1})");
+    std::ofstream(path) << with.config;
+    test::program proxy(HARRIERPASS_PROGRAM, path);
+    proxy.wait_for("started ");
+    const int port = std::stoi(proxy.after("listen=127.0.0.1:"));
+    with.discovery.wait_for(2); // the list is told and watched
+    toy_client out(port);
+    out.send(asks("read", "1"));
+    while (with.executions() == 0)
+        std::this_thread::yield();
+
+    std::ofstream(path) << changed(R"("drainGraceMs":400)", R"("drainGraceMs":400,"startCapacity":14)");
+    proxy.signal(SIGHUP);
+    proxy.wait_for("reload-failed reason=settings.rules.startCapacity is 14, not from 0 to 1");
+    std::ofstream(path) << moved;
+    proxy.signal(SIGHUP);
+    proxy.wait_for("origin=aside");
+    // In hand since before the switch: sent once, and its answer is the client's.
+    CHECK(with.executions() == 1);
+    for (auto &server : with.servers)
+        server.push(ok("held"));
+    CHECK(told(out.read()) == "HTTP/1.1 200 [held]");
+    // Writes go to the origin now, reads to the one cache that is left.
+    const std::size_t reads = with.servers[0].count(), writes = with.servers[1].count();
+    for (int key = 0; key < 6; ++key) {
+        CHECK(told(toy_client(port).ask(asks("bill", std::to_string(key)))) == "HTTP/1.1 200 [value]");
+        CHECK(told(toy_client(port).ask(asks("read", std::to_string(key)))) == "HTTP/1.1 200 [value]");
+    }
+    CHECK(with.servers[0].count() == reads + 6);
+    CHECK(with.servers[1].count() == writes + 6);
+
+    std::ofstream(path) << with.config;
+    proxy.signal(SIGHUP);
+    proxy.wait_for("origin=through");
+    const std::size_t before = with.servers[1].count(), all = with.executions();
+    for (int key = 0; key < 12; ++key)
+        CHECK(told(toy_client(port).ask(asks("read", std::to_string(key)))) == "HTTP/1.1 200 [value]");
+    CHECK(with.servers[1].count() > before); // a cache server again
+    CHECK(with.executions() == all + 12);
+    proxy.signal(SIGTERM);
+    CHECK(proxy.status() == 0);
+    std::remove(path.c_str());
+}
+
+// Guards against a switch by halves: while discovery does not answer, list and settings stand together.
+TEST_CASE("SIGHUP: other settings wait for their list") {
+    stand with({.starts = false});
+    toy_server other([&](const std::string &) { return "hold"; });
+    const std::string path = "waits_test.json";
+    std::string moved = with.config;
+    moved.replace(moved.find(with.discovery.at()), with.discovery.at().size(), other.at());
+    moved.replace(moved.find(R"("familyInfo":{})"), 15, R"("familyInfo":{"mode":"aside","originKind":1})");
+    std::ofstream(path) << with.config;
+    test::program proxy(HARRIERPASS_PROGRAM, path);
+    proxy.wait_for("started ");
+    const int port = std::stoi(proxy.after("listen=127.0.0.1:"));
+    with.discovery.wait_for(2);
+    std::ofstream(path) << moved;
+    proxy.signal(SIGHUP);
+    other.wait_for(1);
+    for (int key = 0; key < 12; ++key) // also to the one that would be the origin
+        CHECK(told(toy_client(port).ask(asks("read", std::to_string(key)))) == "HTTP/1.1 200 [value]");
+    CHECK(with.servers[1].count() > 0);
+    CHECK(proxy.text().find("adopted") == std::string::npos);
+    other.push(ok(with.list("active", true)));
+    proxy.wait_for("origin=aside");
+    proxy.signal(SIGTERM);
+    CHECK(proxy.status() == 0);
+    std::remove(path.c_str());
 }
 
 // Guards "no query is lost" at a planned end, and clients whom no other proxy serves yet: those that it has
