--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -69,8 +69,6 @@
     pairs paths;
     flatten(*given, "", paths);
     made.decisions = read_settings(paths);
-    // Guards "never two at once": one thread sees a query through, with one execution out.
-    made.decisions.allow.second_copies = false;
     // On sockets a list is told to those who ask, also where the simulator tells it by itself: the router
     // then says when to ask again after a loss.
     made.decisions.allow.must_subscribe = true;
--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -32,7 +32,6 @@
     missed,
     unrun,
     doubtful,
-    half,
     doubted,
     done,
     time_up,
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -372,23 +372,13 @@
         return input::go;
     }
 
-    // The server holding this query is suspect: try elsewhere, beside it where copies are allowed.
+    // The server holding this query is suspect: it is called off, and goes elsewhere when that is heard of.
     input rescue(index id) {
         auto &qry = queries_[id];
-        if (qry.use.effect == effect_kind::non_idempotent || qry.open > 1 || repeats_ < 1 ||
+        if (qry.use.effect == effect_kind::non_idempotent || repeats_ < 1 || !allow_.may_cancel ||
             qry.executions.size() >= allow_.max_executions || now_ >= qry.end)
             return input::nothing;
-        if (!allow_.second_copies) {
-            if (allow_.may_cancel)
-                actions.push_back(
-                    {action_kind::cancel, id, none, static_cast<index>(qry.executions.size() - 1), 0});
-            return input::nothing;
-        }
-        const index to = choose(qry);
-        if (to < servers_.size()) {
-            --repeats_;
-            send(id, to);
-        }
+        actions.push_back({action_kind::cancel, id, none, static_cast<index>(qry.executions.size() - 1), 0});
         return input::nothing;
     }
 
@@ -500,7 +490,6 @@
         else if (srv.bad > bad_limit && worse > 0 && run.sent >= srv.condemned_at)
             feel(run.server, sign::struck);
         feed(id, over || qry.at == stage::over ? input::done
-                 : qry.open > 0                ? input::half
                  : result == outcome::miss     ? input::missed
                  : never_ran(result)           ? input::unrun
                                                : input::doubtful);
@@ -712,7 +701,7 @@
         State next;
         Input (core::*effect)(index);
     };
-    static const std::array<table_row<stage, input>, 16> query_table;
+    static const std::array<table_row<stage, input>, 15> query_table;
     static const std::array<table_row<health, sign>, 8> server_table;
     input none_more(index) { return input::nothing; }
     input retry(index) { return input::go; }
@@ -726,7 +715,7 @@
 };
 
 // What a query does next. A row that is missing means: nothing happens.
-const std::array<core::table_row<stage, input>, 16> core::query_table = {{
+const std::array<core::table_row<stage, input>, 15> core::query_table = {{
     {stage::held, input::arrives, stage::held, &core::admit},
     {stage::held, input::go, stage::held, &core::place},
     {stage::held, input::sent, stage::running, &core::none_more},
@@ -737,7 +726,6 @@
     {stage::running, input::unrun, stage::held, &core::retry},
     {stage::running, input::doubtful, stage::held, &core::repeat},
     {stage::running, input::missed, stage::held, &core::fetch},
-    {stage::running, input::half, stage::running, &core::none_more},
     {stage::running, input::doubted, stage::running, &core::rescue},
     {stage::running, input::done, stage::over, &core::drop},
     {stage::running, input::time_up, stage::over, &core::finish},
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -26,7 +26,6 @@
 
 // What a deployment allows and asks of its proxies.
 struct allowances {
-    bool second_copies = false; // one query may have two executions out
     bool may_cancel = false;
     bool may_probe = false;
     bool must_subscribe = false; // the list tells changes only to those who asked
--- a/src/setup/setup.cpp
+++ b/src/setup/setup.cpp
@@ -107,7 +107,6 @@
     to.allow.weights_live = given.one_of("weights", {"off", "nominal", "rough", "live"}) == "live";
     to.allow.must_ask_in = given.seconds_within("rules.mustAskInMs", to.allow.must_ask_in, 0, longest);
     to.allow.must_subscribe = given.one_of("discovery", {"automatic", "subscribe"}) == "subscribe";
-    to.allow.second_copies = given.flag("limits.secondCopies");
     to.allow.may_cancel = given.flag("limits.cancel");
     to.allow.may_probe = given.flag("limits.probes");
     if (given.flag("limits.retryAfter"))
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -84,8 +84,7 @@
                                                          {"warm_time", &cold.warm_time},
                                                          {"max_advice", &allow.max_advice},
                                                          {"excess_importance", &settings_.excess_importance}};
-        const std::map<std::string, bool *> flags = {{"copies", &allow.second_copies},
-                                                     {"may_cancel", &allow.may_cancel},
+        const std::map<std::string, bool *> flags = {{"may_cancel", &allow.may_cancel},
                                                      {"may_probe", &allow.may_probe},
                                                      {"subscribe", &allow.must_subscribe}};
         const std::map<std::string, index *> counts = {{"executions", &allow.max_executions},
