--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -476,8 +476,7 @@
             srv.full_until = now + trust_memory * (0.5 + chance());
             learn(srv, run.sent, 1, false);
         } else if (result == outcome::queue_full) {
-            srv.full_until = now + mean_answer_;
-            learn(srv, run.sent, 1, false);
+            srv.full_until = now + mean_answer_; // it keeps itself from harm, and costs next to nothing
         } else if (result == outcome::timed_out && srv.quiet >= elapsed && share > srv.lim.slow) {
             learn(srv, run.sent, share, false); // guards against a jam whose answers never come to be seen
         }
