--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -709,6 +709,32 @@
     CHECK(with.servers[0].count() == before);
 }
 
+// The program itself, started with a stand's configuration in a file that it may be told to read again.
+struct running {
+    running(stand &with, std::string file)
+        : path(std::move(file)), proxy(HARRIERPASS_PROGRAM, write(with.config)) {
+        proxy.wait_for("started ");
+        port = std::stoi(proxy.after("listen=127.0.0.1:"));
+        with.discovery.wait_for(2); // the list is told and watched
+    }
+    ~running() { std::remove(path.c_str()); }
+    const std::string &write(const std::string &text) const {
+        std::ofstream(path) << text;
+        return path;
+    }
+    void reload(const std::string &text) {
+        write(text);
+        proxy.signal(SIGHUP);
+    }
+    void ends() {
+        proxy.signal(SIGTERM);
+        CHECK(proxy.status() == 0);
+    }
+    std::string path;
+    test::program proxy;
+    int port = 0;
+};
+
 // Guards a proxy in service against a new file: it stays, with what it has in hand, and follows the discovery
 // that the file names; a file that is no good changes nothing.
 TEST_CASE("SIGHUP: discovery is at another address") {
@@ -716,24 +742,18 @@
     toy_server other([&](const std::string &request) {
         return request.find("since=") != std::string::npos ? "hold" : ok(with.list("leaving", true));
     });
-    const std::string path = "reload_test.json";
-    std::ofstream(path) << with.config;
-    test::program proxy(HARRIERPASS_PROGRAM, path);
-    proxy.wait_for("started ");
-    const int port = std::stoi(proxy.after("listen=127.0.0.1:"));
-    with.discovery.wait_for(2); // the list is told and watched
+    running it(with, "reload_test.json");
+    auto &proxy = it.proxy;
+    const int port = it.port;
     toy_client out(port);
     out.send(asks("read", "1"));
     while (with.executions() == 0)
         std::this_thread::yield();
-    std::ofstream(path) << R"({"settings":)";
-    proxy.signal(SIGHUP);
+    it.reload(R"({"settings":)");
     proxy.wait_for("reload-failed ");
     CHECK(proxy.text().find("reloaded") == std::string::npos);
-    std::ofstream(path) << std::string(with.config)
-                               .replace(with.config.find(with.discovery.at()), with.discovery.at().size(),
-                                        other.at());
-    proxy.signal(SIGHUP);
+    it.reload(std::string(with.config)
+                  .replace(with.config.find(with.discovery.at()), with.discovery.at().size(), other.at()));
     other.wait_for(2);
     CHECK(proxy.text().find("side=discovery reason=moved") != std::string::npos);
     CHECK(with.discovery.connections() == 1);
@@ -744,9 +764,7 @@
     for (int key = 0; key < 8; ++key)
         CHECK(told(toy_client(port).ask(asks("read", std::to_string(key)))).starts_with("HTTP/1.1 200"));
     CHECK(with.servers[0].count() == before);
-    proxy.signal(SIGTERM);
-    CHECK(proxy.status() == 0);
-    std::remove(path.c_str());
+    it.ends();
 }
 
 // Guards a move to another shape of deployment while queries are in hand: what was taken before is answered
@@ -754,28 +772,23 @@
 // is alike.
 TEST_CASE("SIGHUP: other settings, and back") {
     stand with({.replies = {"hold"}, .starts = false});
-    const std::string path = "switch_test.json";
     const auto changed = [&](const std::string &from, const std::string &to) {
         std::string made = with.config;
         return made.replace(made.find(from), from.size(), to);
     };
     const std::string moved =
         changed(R"("familyInfo":{})", R"("familyInfo":{"mode":"aside","originKind":1})");
-    std::ofstream(path) << with.config;
-    test::program proxy(HARRIERPASS_PROGRAM, path);
-    proxy.wait_for("started ");
-    const int port = std::stoi(proxy.after("listen=127.0.0.1:"));
-    with.discovery.wait_for(2); // the list is told and watched
+    running it(with, "switch_test.json");
+    auto &proxy = it.proxy;
+    const int port = it.port;
     toy_client out(port);
     out.send(asks("read", "1"));
     while (with.executions() == 0)
         std::this_thread::yield();
 
-    std::ofstream(path) << changed(R"("drainGraceMs":400)", R"("drainGraceMs":400,"startCapacity":14)");
-    proxy.signal(SIGHUP);
+    it.reload(changed(R"("drainGraceMs":400)", R"("drainGraceMs":400,"startCapacity":14)"));
     proxy.wait_for("reload-failed reason=settings.rules.startCapacity is 14, not from 0 to 1");
-    std::ofstream(path) << moved;
-    proxy.signal(SIGHUP);
+    it.reload(moved);
     proxy.wait_for("origin=aside");
     // In hand since before the switch: sent once, and its answer is the client's.
     CHECK(with.executions() == 1);
@@ -791,34 +804,27 @@
     CHECK(with.servers[0].count() == reads + 6);
     CHECK(with.servers[1].count() == writes + 6);
 
-    std::ofstream(path) << with.config;
-    proxy.signal(SIGHUP);
+    it.reload(with.config);
     proxy.wait_for("origin=through");
     const std::size_t before = with.servers[1].count(), all = with.executions();
     for (int key = 0; key < 12; ++key)
         CHECK(told(toy_client(port).ask(asks("read", std::to_string(key)))) == "HTTP/1.1 200 [value]");
     CHECK(with.servers[1].count() > before); // a cache server again
     CHECK(with.executions() == all + 12);
-    proxy.signal(SIGTERM);
-    CHECK(proxy.status() == 0);
-    std::remove(path.c_str());
+    it.ends();
 }
 
 // Guards against a switch by halves: while discovery does not answer, list and settings stand together.
 TEST_CASE("SIGHUP: other settings wait for their list") {
     stand with({.starts = false});
     toy_server other([&](const std::string &) { return "hold"; });
-    const std::string path = "waits_test.json";
     std::string moved = with.config;
     moved.replace(moved.find(with.discovery.at()), with.discovery.at().size(), other.at());
     moved.replace(moved.find(R"("familyInfo":{})"), 15, R"("familyInfo":{"mode":"aside","originKind":1})");
-    std::ofstream(path) << with.config;
-    test::program proxy(HARRIERPASS_PROGRAM, path);
-    proxy.wait_for("started ");
-    const int port = std::stoi(proxy.after("listen=127.0.0.1:"));
-    with.discovery.wait_for(2);
-    std::ofstream(path) << moved;
-    proxy.signal(SIGHUP);
+    running it(with, "waits_test.json");
+    auto &proxy = it.proxy;
+    const int port = it.port;
+    it.reload(moved);
     other.wait_for(1);
     for (int key = 0; key < 12; ++key) // also to the one that would be the origin
         CHECK(told(toy_client(port).ask(asks("read", std::to_string(key)))) == "HTTP/1.1 200 [value]");
@@ -826,9 +832,7 @@
     CHECK(proxy.text().find("adopted") == std::string::npos);
     other.push(ok(with.list("active", true)));
     proxy.wait_for("origin=aside");
-    proxy.signal(SIGTERM);
-    CHECK(proxy.status() == 0);
-    std::remove(path.c_str());
+    it.ends();
 }
 
 // Guards "no query is lost" at a planned end, and clients whom no other proxy serves yet: those that it has
