Files that would change what a running program cannot change are refused whole; switches under load tested

A file that named another listen, name or limits was taken in part with a warning; now nothing of it holds and the field is named. Tests: 600 queries from four clients while settings go to and fro, each run once and answered once; settings out of bounds with place and fault; another name refused. Their files stand in the temporary folder.

--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -112,10 +112,14 @@
 }
 
 void service::reload(const configuration &next) {
-    // What the process was started with stays: its address, name, seed and room.
-    if (next.listen != given_.listen || next.name != given_.name || next.sockets != given_.sockets ||
-        next.memory_mb != given_.memory_mb)
-        log_.warning("reload-partial reason=listen, name and limits need a restart");
+    // Guards against a file half of which would hold: what the process was started with cannot change.
+    const std::pair<const char *, bool> fixed[] = {{"listen", next.listen == given_.listen},
+                                                   {"name", next.name == given_.name},
+                                                   {"limits.sockets", next.sockets == given_.sockets},
+                                                   {"limits.memory_mb", next.memory_mb == given_.memory_mb}};
+    for (const auto &[field, same] : fixed)
+        if (!same)
+            throw bad_text{std::string(field) + " cannot change while the program runs"};
     catalog_.move_to(std::make_shared<const configuration>(next));
     call(follower_->id());
     log_.info("reloaded discovery=", next.discovery);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <filesystem>
 #include <random>
 
 namespace harrierpass::proxy {
@@ -711,8 +712,10 @@
 
 // The program itself, started with a stand's configuration in a file that it may be told to read again.
 struct running {
-    running(stand &with, std::string file)
-        : path(std::move(file)), proxy(HARRIERPASS_PROGRAM, write(with.config)) {
+    running(stand &with, const std::string &file)
+        : path(std::filesystem::temp_directory_path() /
+               ("harrierpass-" + std::to_string(::getpid()) + "-" + file)),
+          proxy(HARRIERPASS_PROGRAM, write(with.config)) {
         proxy.wait_for("started ");
         port = std::stoi(proxy.after("listen=127.0.0.1:"));
         with.discovery.wait_for(2); // the list is told and watched
@@ -788,6 +791,8 @@
 
     it.reload(changed(R"("drainGraceMs":400)", R"("drainGraceMs":400,"startCapacity":14)"));
     proxy.wait_for("reload-failed reason=settings.rules.startCapacity is 14, not from 0 to 1");
+    it.reload(changed(R"("name":"p0")", R"("name":"p1")"));
+    proxy.wait_for("reload-failed reason=name cannot change while the program runs");
     it.reload(moved);
     proxy.wait_for("origin=aside");
     // In hand since before the switch: sent once, and its answer is the client's.
@@ -814,6 +819,76 @@
     it.ends();
 }
 
+// Guards "no query is lost" and "no effect twice" in switches to and fro while queries come: other names in
+// another order, another mode, and each query is run once and answered once.
+TEST_CASE("SIGHUP: other settings under load") {
+    stand with({.starts = false});
+    running it(with, "load_test.json");
+    std::string moved = with.config;
+    moved.replace(moved.find(R"("familyInfo":{})"), 15, R"("familyInfo":{"mode":"aside","originKind":1})");
+    const auto list = moved.find(R"("useCases":[)") + 12;
+    moved.insert(list, R"({"name":"first","effect":"idempotent","group":"all","sloTimeMs":90},)");
+    constexpr int workers = 4, each = 150;
+    std::atomic<int> served = 0, asked = 0;
+    std::vector<std::thread> clients;
+    for (int worker = 0; worker < workers; ++worker)
+        clients.emplace_back([&, worker] {
+            toy_client from(it.port);
+            for (int at = 0; at < each; ++at) {
+                const std::string key = std::to_string(worker * each + at);
+                served += told(from.ask(asks(at % 2 == 0 ? "bill" : "read", key))) == "HTTP/1.1 200 [value]";
+                ++asked;
+            }
+        });
+    const auto count = [&](const std::string &line) {
+        const std::string all = it.proxy.text();
+        int found = 0;
+        for (auto at = all.find(line); at != std::string::npos; at = all.find(line, at + 1))
+            ++found;
+        return found;
+    };
+    int switches = 0;
+    while (asked < workers * each || switches % 2 != 0) {
+        it.reload(switches % 2 == 0 ? moved : with.config);
+        ++switches;
+        while (count(" adopted ") < switches)
+            std::this_thread::yield();
+    }
+    for (auto &client : clients)
+        client.join();
+    CHECK(served == workers * each);
+    CHECK(with.executions() == workers * each);
+    it.ends();
+}
+
+// Guards a proxy in service against settings that were edited by hand: the place and the fault are named.
+TEST_CASE("settings out of bounds") {
+    stand with({.starts = false});
+    const auto fault = [&](const std::string &from, const std::string &to) -> std::string {
+        std::string made = with.config;
+        try {
+            read_configuration(made.replace(made.find(from), from.size(), to));
+        } catch (const bad_text &bad) {
+            return bad.why;
+        }
+        return "";
+    };
+    CHECK(fault("9000", "9000").empty());
+    CHECK(fault(R"("windowMs":9000)", R"("windowMs":-1)") ==
+          "settings.useCases.0.windowMs is -1, not from 0 to 8.64e+07");
+    CHECK(fault(R"("windowMs":9000)", R"("windowMs":"soon")") == "settings.useCases.0.windowMs is no number");
+    CHECK(fault(R"("at_most_once")", R"("once")") ==
+          "settings.useCases.2.effect is 'once', which is not known");
+    CHECK(fault(R"("quotaRps":1000)", R"("quotaRps":-5)") ==
+          "settings.tenants.0.quotaRps is -5, not from 0 to 1e+09");
+    CHECK(fault(R"("tickMs":5)", R"("tickMs":5,"locality":7)") ==
+          "settings.locality is none of settings.zones");
+    CHECK(fault(R"("familyInfo":{})", R"("familyInfo":{"mode":"aside","originKind":2})") ==
+          "settings.familyInfo.originKind is none of settings.shapes");
+    CHECK(fault(R"("familyInfo":{})", R"("familyInfo":{"mode":"beside"})") ==
+          "settings.familyInfo.mode is 'beside', which is not known");
+}
+
 // Guards against a switch by halves: while discovery does not answer, list and settings stand together.
 TEST_CASE("SIGHUP: other settings wait for their list") {
     stand with({.starts = false});
