Damaged reports cost no outcome; only refusals and failed connects rest the origin

A report that is no number threw the whole outcome of its execution away; now it counts as none told (wire_in has one of each). An execution that was never sent no longer rests the origin for a second. The figure of busy cores, tried and dropped, is gone from the interface.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -34,10 +34,10 @@
 constexpr index nobody = none - 1; // where no server may take a query, now or later
 constexpr double cut_share = 0.7;  // of the cap; a few cuts halve it, one does little harm
 constexpr double slow_share = 0.4; // of the SLO time; the rest is left for the way and a second try
-constexpr double origin_share = 0.6;
-constexpr double origin_room = 32;     // queries in hand at the origin; more are told only where it jams
-constexpr double base_factor = 2;      // times the origin's answer time at its least load; then queues
-constexpr double quick_share = 0.15;   // of the SLO time; so quick a server has room to spare
+constexpr double origin_share = 0.6; // of the shortest SLO time; the rest is for the way and the cache before
+constexpr double origin_room = 32;   // queries in hand at the origin; more were told only where it jams
+constexpr double base_factor = 2;    // times the origin's answer time at its least load; then queues
+constexpr double quick_share = 0.15; // of the SLO time; so quick a server has room to spare
 constexpr double all_slow_share = 0.6; // of the SLO time; over one server's, as some are slow of themselves
 constexpr double all_weight = 0.1;     // of a new answer in the mean of all servers; the last ten
 constexpr double slow_weight = 0.2;    // of a new answer in the mean; about the last five answers
@@ -472,7 +472,9 @@
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
             // Guards the use case with the least time: all come to the one origin, and wait for each other.
             learn(srv, run.sent, run.server == origin_ ? elapsed / shortest_ : share, fetched);
-        } else if (run.server == origin_ && never_ran(result)) {
+        } else if (run.server == origin_ &&
+                   (result == outcome::queue_full || result == outcome::connect_error)) {
+            // Guards an origin that refuses or is down against being asked at once, again and by all.
             srv.full_until = now + trust_memory * (0.5 + chance());
             learn(srv, run.sent, 1, false);
         } else if (result == outcome::queue_full) {
@@ -545,7 +547,7 @@
             grow_or_cut(all_, sent, share, all_reached, total_in_flight_);
     }
 
-    // What a server says of its load. Where it names the share of its cores, a queue so busy holds this much.
+    // What a server says of its load, if it does.
     void heard(server &srv, const load_report &report) {
         if (report.held < 0)
             return;
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -99,7 +99,6 @@
 // What a server said of its own load, with an answer or a probe's; negative: not told.
 struct load_report {
     double held = -1; // queries in hand
-    double busy = -1; // share of its cores
 };
 
 // The server itself spoke, so it is alive.
--- a/src/simlink/simlink.cpp
+++ b/src/simlink/simlink.cpp
@@ -197,7 +197,8 @@
         if (server == none)
             throw bad_line{"unknown cache node"};
         const bool answered = line.word() == "Ok";
-        line.word(); // the time it took decides nothing
+        if (!line.rest().empty())
+            line.word(); // the time it took decides nothing
         to.decides->probed(now_, server, answered, report(line));
     } else {
         const auto found = to.query_index.find(line.word());
@@ -328,18 +329,20 @@
                       note > 1, report(line));
 }
 
-// The values that decide something; the others are passed over, and so is what is no number.
+// What decides something; the rest is passed over. Guards an outcome against the report that came with it:
+// one that is missing or damaged is none.
 load_report wire_link::report(parts &line) {
     load_report told;
-    string_view left = line.word();
-    while (!left.empty() && left != "-") {
-        const string_view pair = left.substr(0, left.find(','));
-        left = pair.size() < left.size() ? left.substr(pair.size() + 1) : string_view{};
-        const auto colon = pair.find(':');
-        const string_view name = pair.substr(0, colon);
-        double *const to = name == "concurrent" ? &told.held : name == "load_share" ? &told.busy : nullptr;
-        if (to != nullptr && colon != string_view::npos)
-            *to = parse_number<double>(pair.substr(colon + 1), "a reported value is no number");
+    try {
+        string_view left = line.word();
+        while (!left.empty()) {
+            const string_view pair = left.substr(0, left.find(','));
+            left = pair.size() < left.size() ? left.substr(pair.size() + 1) : string_view{};
+            if (pair.starts_with("concurrent:"))
+                told.held = parse_number<double>(pair.substr(pair.find(':') + 1), "a report is no number");
+        }
+    } catch (const bad_line &) {
+        told = {};
     }
     return told;
 }
