--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -889,6 +889,30 @@
           "settings.familyInfo.mode is 'beside', which is not known");
 }
 
+// Guards a query that crosses a switch against a place in lists of names that are no longer in force.
+TEST_CASE("a query understood by the old names is not taken") {
+    stand with({.starts = false});
+    const auto old = std::make_shared<const configuration>(read_configuration(with.config));
+    const auto next = std::make_shared<const configuration>(read_configuration(with.config));
+    desk decides(old);
+    decides.on_probe = [](index) {};
+    decides.on_subscribe = [] {};
+    new_query made;
+    made.statement_end = decides.now() + 100;
+    ticket late, held;
+    CHECK(decides.arrived(held, made, old));
+    decides.adopt(next, {});
+    CHECK(decides.given() == next);
+    CHECK_FALSE(decides.arrived(late, made, old));
+    CHECK(decides.finished(late));
+    CHECK_FALSE(decides.finished(held)); // it was taken before, and is still in hand
+    CHECK(decides.arrived(late, made, next));
+    for (auto *const each : {&late, &held}) {
+        decides.left(*each);
+        CHECK(decides.finished(*each));
+    }
+}
+
 // Guards against a switch by halves: while discovery does not answer, list and settings stand together.
 TEST_CASE("SIGHUP: other settings wait for their list") {
     stand with({.starts = false});
