One way to a setting's number and to a query that is out; a comment that told an old figure

Found on a second reading: setup.cpp caught and threw anew to name a path that parse_number can be given; its header brought a name into all that include it; seven tests waited for an execution by a loop of their own; has_room still spoke of twice the warmth.

--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -194,7 +194,8 @@
     }
 
     // Guards "no cold server pushed over": it takes part of its keys by its warmth, and part of their queries
-    // by twice that, so that what all proxies send it keeps under what it can do whatever their number.
+    // by somewhat more than that, so that what all proxies send it keeps under what it can do whatever their
+    // number.
     bool has_room(const server &srv, const query &qry) const {
         // Guards against an origin left alone for want of news: what cut its limit is soon forgotten. But
         // where it said that it holds much, not by all of many proxies at once.
--- a/src/setup/setup.cpp
+++ b/src/setup/setup.cpp
@@ -6,6 +6,8 @@
 
 namespace harrierpass {
 
+using std::string_view;
+
 string_view pairs::text(const std::string &path) const {
     const auto found = values_.find(path);
     return found == values_.end() ? string_view{} : string_view(found->second);
@@ -17,19 +19,13 @@
 constexpr double longest = 86400;  // s
 constexpr double most_price = 100; // of an answer's worth
 
-double parsed(const std::string &path, string_view value) {
-    try {
-        return parse_number<double>(value, "");
-    } catch (const bad_text &) {
-        throw bad_text{"settings." + path + " is no number"};
-    }
-}
-
 } // namespace
 
 double pairs::number(const std::string &path, double absent) const {
     const string_view value = text(path);
-    return value.empty() || value == "-" ? absent : parsed(path, value);
+    if (value.empty() || value == "-")
+        return absent;
+    return parse_number<double>(value, ("settings." + path + " is no number").c_str());
 }
 
 index pairs::count(const std::string &path, index absent) const {
--- a/src/setup/setup.hpp
+++ b/src/setup/setup.hpp
@@ -13,8 +13,6 @@
 
 namespace harrierpass {
 
-using std::string_view;
-
 // Paths and their texts. A list has its length under "path.count"; paths unknown here are never looked up.
 class pairs {
 public:
@@ -32,7 +30,7 @@
         return within(path, absent * 1000, least * 1000, most * 1000) / 1000;
     }
     // Throws where a text stands there that is none of those.
-    string_view one_of(const std::string &path, std::initializer_list<string_view> those) const;
+    std::string_view one_of(const std::string &path, std::initializer_list<std::string_view> those) const;
 
 private:
     std::map<std::string, std::string, std::less<>> values_;
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -206,6 +206,10 @@
                (whole_list ? "," + entry("s1", servers[1].at(), "active", "o") : "") + "]}";
     }
     std::size_t executions() { return servers[0].count() + servers[1].count(); }
+    void wait_for_execution() {
+        while (executions() == 0)
+            std::this_thread::yield();
+    }
 
     std::mutex lock;
     std::vector<std::string> replies;
@@ -372,8 +376,7 @@
     stand with({.replies = {"hold"}});
     toy_client first(with.port), second(with.port);
     first.send(asks("bill", "1"));
-    while (with.executions() == 0)
-        std::this_thread::yield();
+    with.wait_for_execution();
     CHECK(second.ask(asks("bill", "1")).starts_with("HTTP/1.1 409"));
     for (auto &server : with.servers)
         server.push(ok("value"));
@@ -546,8 +549,7 @@
     stand with({.replies = {"hold"}});
     toy_client out(with.port), other(with.port);
     out.send(asks("read", "1"));
-    while (with.executions() == 0)
-        std::this_thread::yield();
+    with.wait_for_execution();
     std::string next = asks("read", "1");
     next.replace(next.find("9b1"), 3, "9b2");
     CHECK(told(other.ask(next)) == "HTTP/1.1 200 [value]"); // on a second connection, to the same server
@@ -619,8 +621,7 @@
     {
         toy_client client(with.port);
         client.send(asks("read", "1"));
-        while (with.executions() == 0)
-            std::this_thread::yield();
+        with.wait_for_execution();
     }
     while (with.proxy->counted().of(count::left) == 0)
         std::this_thread::yield();
@@ -750,8 +751,7 @@
     const int port = it.port;
     toy_client out(port);
     out.send(asks("read", "1"));
-    while (with.executions() == 0)
-        std::this_thread::yield();
+    with.wait_for_execution();
     it.reload(R"({"settings":)");
     proxy.wait_for("reload-failed ");
     CHECK(proxy.text().find("reloaded") == std::string::npos);
@@ -786,8 +786,7 @@
     const int port = it.port;
     toy_client out(port);
     out.send(asks("read", "1"));
-    while (with.executions() == 0)
-        std::this_thread::yield();
+    with.wait_for_execution();
 
     it.reload(changed(R"("drainGraceMs":400)", R"("drainGraceMs":400,"startCapacity":14)"));
     proxy.wait_for("reload-failed reason=settings.rules.startCapacity is 14, not from 0 to 1");
@@ -941,8 +940,7 @@
     toy_client out(with.port), idle(with.port);
     CHECK(idle.ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200"));
     out.send(asks("read", "1"));
-    while (with.executions() == 0)
-        std::this_thread::yield();
+    with.wait_for_execution();
     std::thread ending([&] { with.proxy->end(0.3); });
     while (with.test_ready())
         std::this_thread::yield();
@@ -968,8 +966,7 @@
     stand with({.replies = {"hold"}, .statement_ms = 100});
     toy_client client(with.port);
     client.send(asks("bill", "1", "60000m"));
-    while (with.executions() == 0)
-        std::this_thread::yield();
+    with.wait_for_execution();
     with.proxy->end(0);
     CHECK(client.read().starts_with("HTTP/1.1 50"));
     CHECK(with.proxy->counted().of(count::aborted) == 1);
