A door for operators: figures, servers out by hand, clients sent away

Change: control.cpp (door), figures.cpp (counts and page), by_hand in catalog.cpp, a gate over first writes in upstream.hpp, away_at in query.hpp; the module tells whom it suspects (avoids(), no decision changed). Tests: tests/operators_test.cpp; the stand moved to tests/stand.hpp.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -107,16 +107,23 @@
     return made;
 }
 
+long write_some(const tcp_socket &to, std::string_view head, std::string_view body) {
+    iovec parts[2] = {{const_cast<char *>(head.data()), head.size()},
+                      {const_cast<char *>(body.data()), body.size()}};
+    msghdr message{};
+    message.msg_iov = parts;
+    message.msg_iovlen = 2;
+    const auto wrote = ::sendmsg(to.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (wrote < 0)
+        return errno == EAGAIN || errno == EWOULDBLOCK ? 0 : -1;
+    return wrote;
+}
+
 bool write_all(const tcp_socket &to, std::string_view head, std::string_view body, double limit) {
     const double end = steady_now() + limit;
     while (!head.empty() || !body.empty()) {
-        iovec parts[2] = {{const_cast<char *>(head.data()), head.size()},
-                          {const_cast<char *>(body.data()), body.size()}};
-        msghdr message{};
-        message.msg_iov = parts;
-        message.msg_iovlen = 2;
-        const auto wrote = ::sendmsg(to.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
-        if (wrote < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        const long wrote = write_some(to, head, body);
+        if (wrote == 0) {
             pollfd room{to.get(), POLLOUT, 0};
             const double left = end - steady_now();
             if (left <= 0)
@@ -124,7 +131,7 @@
             wait_on({&room, 1}, left);
             continue;
         }
-        if (wrote <= 0)
+        if (wrote < 0)
             return false;
         const auto of_head = std::min(static_cast<std::size_t>(wrote), head.size());
         head.remove_prefix(of_head);
--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -60,15 +60,25 @@
 }
 
 void catalog::tell(const server_list &list, list_kind kind, std::shared_ptr<const configuration> next) {
+    const std::lock_guard hold(members_);
     std::vector<list_entry> entries;
+    if (kind != list_kind::changes)
+        listed_.clear();
     for (const auto &each : list.items) {
         if (each.as.state == listing::gone && !index_of_.contains(each.id))
             continue; // nothing was ever heard of it
         const index at = index_for(each.id);
-        if (each.as.state != listing::gone)
+        if (each.as.state != listing::gone) {
             upstream_.place(at, each.id, each.host_port, each.as.started, desk_.now());
-        entries.push_back(each.as);
-        entries.back().server = at;
+            upstream_.set_out(at, hands_.out.contains(each.id));
+        }
+        auto entry = each.as;
+        entry.server = at;
+        if (entry.state == listing::gone)
+            listed_.erase(each.id);
+        else
+            listed_[each.id] = entry;
+        entries.push_back(as_used(each.id, entry));
         entries.back().id = each.id;
     }
     if (next)
@@ -78,6 +88,81 @@
     bury(list, kind);
 }
 
+// What the router is told of a server: one that is out by hand drains, one that came back by hand started
+// then.
+list_entry catalog::as_used(const std::string &id, list_entry listed) const {
+    if (hands_.out.contains(id) && listed.state == listing::ready)
+        listed.state = listing::draining;
+    if (const auto back = hands_.back.find(id); back != hands_.back.end())
+        listed.started = std::max(listed.started, back->second);
+    return listed;
+}
+
+void catalog::tell_again(const std::string &id) {
+    const auto found = listed_.find(id);
+    if (found == listed_.end())
+        return;
+    auto entry = as_used(id, found->second);
+    entry.id = id;
+    desk_.listed(list_kind::changes, {&entry, 1});
+}
+
+bool catalog::take_out(const std::string &id) {
+    const std::lock_guard hold(members_);
+    const auto at = index_of_.find(id);
+    if (at == index_of_.end())
+        return hands_.out.contains(id);
+    if (!hands_.out.insert(id).second)
+        return true;
+    upstream_.set_out(at->second, true);
+    tell_again(id);
+    upstream_.end_kept(at->second, desk_.now(), "out");
+    log_.info("taken-out server=", id);
+    return true;
+}
+
+bool catalog::take_back(const std::string &id) {
+    const std::lock_guard hold(members_);
+    const auto at = index_of_.find(id);
+    if (hands_.out.erase(id) == 0)
+        return at != index_of_.end();
+    hands_.back[id] = desk_.now();
+    if (at != index_of_.end())
+        upstream_.set_out(at->second, false);
+    tell_again(id);
+    log_.info("taken-back server=", id);
+    return true;
+}
+
+catalog::by_hand catalog::hands() {
+    const std::lock_guard hold(members_);
+    return hands_;
+}
+
+void catalog::use_hands(const by_hand &from) {
+    const std::lock_guard hold(members_);
+    hands_ = from;
+}
+
+std::pair<std::size_t, std::size_t> catalog::standing() {
+    std::vector<index> in_use;
+    std::size_t all = 0, out = 0;
+    {
+        const std::lock_guard hold(members_);
+        const index origin = desk_.given()->decisions.origin_kind;
+        for (const auto &[id, entry] : listed_) {
+            if (origin != none && entry.kind == origin)
+                continue;
+            ++all;
+            if (hands_.out.contains(id))
+                ++out;
+            else
+                in_use.push_back(entry.server);
+        }
+    }
+    return {all, out + desk_.avoided(in_use)};
+}
+
 // Its own, else one whose server is gone and to which nothing refers any more. Guards the memory, and all
 // that walks the servers, where new ones come for as long as the proxy runs.
 index catalog::index_for(const std::string &id) {
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -8,6 +8,8 @@
 #include "proxy/upstream.hpp"
 
 #include <atomic>
+#include <map>
+#include <set>
 #include <unordered_map>
 
 namespace harrierpass::proxy {
@@ -31,6 +33,17 @@
     catalog(desk &decides, upstream &servers, counters &count, log &lines);
 
     void use_known(); // the list that the configuration brought
+    // Out by hand: nothing new goes there from the return on, whatever the list says, until it is taken back,
+    // and it is cold then. Once is enough for both. False: nobody has or had that id.
+    bool take_out(const std::string &id);
+    bool take_back(const std::string &id);
+    struct by_hand {
+        std::set<std::string> out;
+        std::map<std::string, double> back; // when it came back, Unix time, s
+    };
+    by_hand hands();                                // a copy
+    void use_hands(const by_hand &from);            // another process's, before the list is told
+    std::pair<std::size_t, std::size_t> standing(); // servers in the list, and of them those avoided
     void ask() { asked_.store(true); }
     // Another configuration: its discovery is asked for the whole list, by whose coming both take force in
     // one step; until then list and configuration stand. The follower's thread is to be called after this.
@@ -44,6 +57,8 @@
     std::optional<json> fetch(const std::string &target, double limit, const std::function<bool()> &over);
     void end_connection(const char *reason);
     void tell(const server_list &list, list_kind kind, std::shared_ptr<const configuration> next = nullptr);
+    list_entry as_used(const std::string &id, list_entry listed) const;
+    void tell_again(const std::string &id);
     index index_for(const std::string &id);
     void bury(const server_list &list, list_kind kind);
 
@@ -57,8 +72,11 @@
     std::optional<address> where_;
     tcp_socket socket_; // to discovery
     std::vector<char> buffer_;
-    std::unordered_map<std::string, index> index_of_; // also of those gone whose index nobody else has yet
-    std::deque<std::string> gone_;                    // these, the first to go first
+    std::mutex members_; // of what follows, up to places_
+    by_hand hands_;
+    std::unordered_map<std::string, list_entry> listed_; // as the list has them, those gone left out
+    std::unordered_map<std::string, index> index_of_;    // also of those gone whose index nobody else has yet
+    std::deque<std::string> gone_;                       // these, the first to go first
     std::atomic<index> places_ = 0;
     std::uint64_t revision_ = 0;
     std::atomic<bool> asked_ = true, ready_ = false, moved_ = false;
--- /dev/null
+++ b/src/proxy/control.cpp
@@ -0,0 +1,187 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/control.hpp"
+
+#include "proxy/messages.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <sys/socket.h>
+
+namespace harrierpass::proxy {
+namespace {
+
+using std::string_view;
+
+constexpr std::size_t call_size = 4096; // bytes of a call; a target and a few fields
+constexpr double call_limit = 4.5;      // s for a call to come whole; some say nothing for 4 s
+constexpr double linger_limit = 0.5;    // s in which a caller may still read its answer
+constexpr double write_limit = 0.1;     // s; a page fits into the system's buffer, so it is never waited for
+constexpr double look_period = 0.25;    // s between looks at who has stayed too long
+
+// The one value of `target` in a query string; empty, with the fault named, where it is not there once.
+std::string target_of(string_view query, const char *&fault) {
+    std::string id;
+    std::size_t found = 0;
+    while (!query.empty()) {
+        const auto end = std::min(query.find('&'), query.size());
+        const string_view part = query.substr(0, end);
+        query.remove_prefix(std::min(end + 1, query.size()));
+        if (!part.starts_with("target="))
+            continue;
+        ++found;
+        for (string_view rest = part.substr(7); !rest.empty(); rest.remove_prefix(1)) {
+            if (rest[0] != '%') {
+                id += rest[0];
+                continue;
+            }
+            unsigned value = 0;
+            const auto digits = rest.substr(1, 2);
+            const auto [at, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+            if (digits.size() != 2 || error != std::errc{} || at != digits.data() + 2) {
+                fault = "target has a % without two hexadecimal digits\n";
+                return {};
+            }
+            id += static_cast<char>(value);
+            rest.remove_prefix(2);
+        }
+    }
+    fault = found == 0   ? "target=ID is missing\n"
+            : found > 1  ? "target stands twice\n"
+            : id.empty() ? "target is empty\n"
+                         : nullptr;
+    return id;
+}
+
+} // namespace
+
+control::control(tcp_socket on, control_calls calls) : socket_(std::move(on)), calls_(std::move(calls)) {
+    thread_.emplace([this] { run(); });
+}
+
+control::~control() {
+    over_ = true;
+    call(thread_->id());
+    thread_.reset();
+}
+
+void control::run() {
+    std::vector<pollfd> waits;
+    while (!over_) {
+        waits.assign(1, {socket_.get(), POLLIN, 0});
+        for (const auto &each : callers_)
+            waits.push_back({each.socket.get(), POLLIN, 0});
+        wait_on(waits, look_period);
+        const double now = steady_now();
+        auto in = waits.begin() + 1;
+        for (auto each = callers_.begin(); each != callers_.end(); ++in) {
+            bool stays = now - each->since < (each->answered ? linger_limit : call_limit);
+            try {
+                stays = stays && (in->revents == 0 || hear(*each));
+            } catch (const std::bad_alloc &) { // guards the door: that caller has no answer
+                stays = false;
+            }
+            each = stays ? std::next(each) : callers_.erase(each);
+        }
+        if (waits.front().revents != 0)
+            take_all();
+    }
+}
+
+// Each new caller is heard at once, as a whole call is mostly there already. Guards against those that say
+// nothing: when all places are taken the one that has stayed longest gives way.
+void control::take_all() {
+    for (std::size_t taken = 0; taken < most_callers; ++taken) {
+        address peer;
+        tcp_socket from = accept_on(socket_, peer);
+        if (!from && (errno == EMFILE || errno == ENFILE) && !callers_.empty()) {
+            callers_.pop_front();
+            from = accept_on(socket_, peer);
+        }
+        if (!from)
+            return;
+        try {
+            if (callers_.size() >= most_callers)
+                callers_.pop_front();
+            auto &made = callers_.emplace_back();
+            made.socket = std::move(from);
+            made.since = steady_now();
+            made.buffer.resize(call_size);
+            made.reader.emplace(made.buffer, http_reader::side::request);
+            if (!hear(made))
+                callers_.pop_back();
+        } catch (const std::bad_alloc &) {
+            return;
+        }
+    }
+}
+
+bool control::hear(caller &from) {
+    if (from.answered) {
+        char away[512];
+        const long got = read_some(from.socket, away, sizeof away);
+        return got > 0 || got == -2;
+    }
+    const long got = read_some(from.socket, from.reader->room().data(), from.reader->room().size());
+    if (got == -2)
+        return true;
+    if (got <= 0)
+        return false;
+    auto state = from.reader->took(static_cast<std::size_t>(got));
+    if (state == http_reader::state::more && from.reader->room().empty())
+        state = http_reader::state::too_large;
+    switch (state) {
+    case http_reader::state::more:
+        return true;
+    case http_reader::state::whole:
+        answer(from, decide(from.reader->head()));
+        return true;
+    case http_reader::state::too_large:
+        answer(from, {413, "the call is longer than 4096 bytes\n"});
+        return true;
+    default:
+        answer(from, {400, "this is no HTTP/1.1 call\n"});
+        return true;
+    }
+}
+
+control::said control::decide(const http_head &asked) const {
+    const auto mark = asked.target.find('?');
+    const string_view path = asked.target.substr(0, mark);
+    const string_view query = mark == string_view::npos ? string_view{} : asked.target.substr(mark + 1);
+    static constexpr std::array<string_view, 2> reads = {"/ready", "/metrics"};
+    static constexpr std::array<string_view, 4> acts = {"/cache-nodes/disable", "/cache-nodes/enable",
+                                                        "/drain", "/undrain"};
+    const bool read = std::ranges::find(reads, path) != reads.end();
+    if (!read && std::ranges::find(acts, path) == acts.end())
+        return {404, "no such call; there are /ready, /metrics, /cache-nodes/disable, /cache-nodes/enable, "
+                     "/drain, /undrain\n"};
+    if (asked.method != (read ? "GET" : "POST"))
+        return {405, read ? "this call is a GET\n" : "this call is a POST\n",
+                read ? "Allow: GET\r\n" : "Allow: POST\r\n"};
+    if (path == "/ready")
+        return calls_.ready() ? said{200, "ready\n"} : said{503, "not ready\n"};
+    if (path == "/metrics")
+        return {200, calls_.figures(), "Content-Type: text/plain; version=0.0.4\r\n"};
+    if (path == "/drain" || path == "/undrain") {
+        calls_.send_away(path == "/drain");
+        return {200, "done\n"};
+    }
+    const char *fault = nullptr;
+    const std::string id = target_of(query, fault);
+    if (fault != nullptr)
+        return {400, fault};
+    const bool known = path == "/cache-nodes/disable" ? calls_.take_out(id) : calls_.take_back(id);
+    return known ? said{200, "done\n"} : said{404, "no cache node has that id\n"};
+}
+
+void control::answer(caller &to, const said &what) {
+    const std::string head = answer_head(what.status, what.fields, what.body.size(), false);
+    write_all(to.socket, head, what.body, write_limit);
+    ::shutdown(to.socket.get(), SHUT_WR);
+    to.answered = true;
+    to.since = steady_now();
+}
+
+} // namespace harrierpass::proxy
--- a/src/proxy/desk.cpp
+++ b/src/proxy/desk.cpp
@@ -180,6 +180,12 @@
     return server < refers_.size() && refers_[server] > 0;
 }
 
+std::size_t desk::avoided(std::span<const index> of) {
+    const std::lock_guard hold(lock_);
+    return static_cast<std::size_t>(
+        std::count_if(of.begin(), of.end(), [&](index each) { return router_->avoids(each); }));
+}
+
 void desk::run_timer(const std::function<bool()> &over) {
     while (!over()) {
         double due;
--- a/src/proxy/desk.hpp
+++ b/src/proxy/desk.hpp
@@ -63,6 +63,7 @@
     void listed(list_kind kind, std::span<const list_entry> entries);
     void probed(index server, std::optional<bool> answered); // empty: the probe was not made
     bool refers(index server);                         // a query in hand was sent there, or a probe is out
+    std::size_t avoided(std::span<const index> of);    // of these servers, those that the router avoids
     void run_timer(const std::function<bool()> &over); // the timer's thread; until `over`
 
 private:
--- /dev/null
+++ b/src/proxy/figures.cpp
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/figures.hpp"
+
+namespace harrierpass::proxy {
+namespace {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(verdict::total)> states = {
+    "answered", "deferred", "errored"};
+
+// A label's value, in which quotes, backslashes and line ends are written with a backslash.
+std::string quoted(std::string_view text) {
+    std::string made = "\"";
+    for (const char each : text) {
+        if (each == '"' || each == '\\')
+            made += '\\';
+        if (each == '\n')
+            made += "\\n";
+        else
+            made += each;
+    }
+    return made += '"';
+}
+
+void put(std::string &to, std::string_view name, std::string_view kind, std::string_view help,
+         std::uint64_t value) {
+    to.append("# HELP ").append(name).append(" ").append(help).append("\n# TYPE ").append(name);
+    to.append(" ").append(kind).append("\n").append(name).append(" ");
+    to.append(std::to_string(value)).append("\n");
+}
+
+} // namespace
+
+std::string figures_page(const figures::snapshot &now, std::size_t listed, std::size_t avoided) {
+    static constexpr std::string_view ended = "app_transactions_total";
+    std::string page;
+    page.append("# HELP ").append(ended).append(" Queries ended, by use case and how.\n");
+    page.append("# TYPE ").append(ended).append(" counter\n");
+    for (const auto &[use_case, counts] : now.ended)
+        for (std::size_t i = 0; i < states.size(); ++i)
+            page.append(ended)
+                .append("{group=")
+                .append(quoted(use_case))
+                .append(",state=\"")
+                .append(states[i])
+                .append("\"} ")
+                .append(std::to_string(counts[i]))
+                .append("\n");
+    put(page, "app_sends_total", "counter", "Executions written whole to servers.", now.sends);
+    put(page, "app_current", "gauge", "Queries taken and not ended.", now.current);
+    put(page, "app_cluster_size", "gauge", "Servers in the list.", listed);
+    put(page, "app_cluster_unhealthy", "gauge", "Listed servers that are avoided now.", avoided);
+    return page;
+}
+
+} // namespace harrierpass::proxy
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -26,7 +26,7 @@
 
 void listener::run() {
     double tidied = 0;
-    bool told = false;
+    bool told = false; // the connections, that they are to close
     for (;;) {
         pollfd in{socket_.get(), POLLIN, 0};
         const double now = with_.decides.now();
@@ -37,11 +37,11 @@
             tidied = now;
             with_.servers.end_stale(now);
         }
-        if (!with_.closing())
-            continue;
-        if (!std::exchange(told, true))
+        const bool closing = with_.closing();
+        if (closing && !told)
             wake_all(); // so that they see it
-        if (connections() == 0)
+        told = closing;
+        if (with_.ending() && connections() == 0)
             break;
     }
     // Whoever connected since the last look is served still.
--- a/src/proxy/messages.cpp
+++ b/src/proxy/messages.cpp
@@ -101,15 +101,16 @@
 }
 
 std::string answer_head(int status, string_view fields, std::size_t size, bool keeps) {
-    static constexpr std::array<std::pair<int, string_view>, 9> names = {{{200, "OK"},
-                                                                          {400, "Bad Request"},
-                                                                          {405, "Method Not Allowed"},
-                                                                          {408, "Request Timeout"},
-                                                                          {409, "Conflict"},
-                                                                          {413, "Content Too Large"},
-                                                                          {502, "Bad Gateway"},
-                                                                          {503, "Service Unavailable"},
-                                                                          {504, "Gateway Timeout"}}};
+    static constexpr std::array<std::pair<int, string_view>, 10> names = {{{200, "OK"},
+                                                                           {400, "Bad Request"},
+                                                                           {404, "Not Found"},
+                                                                           {405, "Method Not Allowed"},
+                                                                           {408, "Request Timeout"},
+                                                                           {409, "Conflict"},
+                                                                           {413, "Content Too Large"},
+                                                                           {502, "Bad Gateway"},
+                                                                           {503, "Service Unavailable"},
+                                                                           {504, "Gateway Timeout"}}};
     const auto name =
         std::find_if(names.begin(), names.end(), [&](const auto &each) { return each.first == status; });
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
--- a/src/proxy/probe.cpp
+++ b/src/proxy/probe.cpp
@@ -40,7 +40,9 @@
 }
 
 // Not on a kept connection: one from before a silence would speak of the process that was there then.
-bool prober::probe(index server) {
+std::optional<bool> prober::probe(index server) {
+    if (!upstream_.unless_out(server, [] {}))
+        return std::nullopt; // not made: it is out by hand
     counters_.add(count::probes);
     auto to = upstream_.dial_new(server, desk_.now());
     if (!to.socket) {
--- a/src/proxy/probe.hpp
+++ b/src/proxy/probe.hpp
@@ -20,7 +20,7 @@
     void start(index server);
 
 private:
-    bool probe(index server);
+    std::optional<bool> probe(index server); // empty: not made
     void over(index server, std::optional<bool> answered);
 
     desk &desk_;
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -51,6 +51,11 @@
     const char *refuse(int status, string_view fields, string_view why);
     execution_end execute(const orders &now, const http_reader &asked, http_reader &answer);
     const char *answer(int status, string_view fields, string_view body);
+    // The final answer. Counted before it is written: whoever has the answer finds it counted.
+    const char *final_answer(verdict how, int status, string_view fields = {}, string_view body = {}) {
+        shown_.ended(use_case_, how);
+        return answer(status, fields, body);
+    }
     double stop_by() const { return with_.drain_at.load() + with_.last_answer; }
     double patience() const { return std::min(statement_end_, stop_by()); }
 
@@ -59,6 +64,8 @@
     ticket ticket_;
     std::shared_ptr<const configuration> given_; // by which the query was understood
     open_ids::holder id_;
+    figures::holder shown_;     // as taken, to operators
+    std::string use_case_;      // its name
     buffer_pool::lease buffer_; // the query's
     bool arrived_ = false;
     bool keeps_ = true; // the client's connection, after this query
@@ -86,7 +93,7 @@
     };
 
     if (asked.head().target == "/_health")
-        return done(answer(with_.ready() && !with_.draining() ? 200 : 503, {}, {}));
+        return done(answer(with_.ready() && !with_.draining() && !with_.away() ? 200 : 503, {}, {}));
     if (asked.head().method != "GET" && asked.head().method != "PUT")
         return done(refuse(405, "Allow: GET, PUT\r\n", "a query is a GET or a PUT\n"));
     given_ = desk.given();
@@ -94,14 +101,18 @@
     if (wanted.fault != nullptr)
         return done(refuse(400, {}, wanted.fault));
     const double came = desk.now();
+    shown_ = with_.shown.taken();
+    use_case_ = given_->use_cases[wanted.made.use_case];
     // Guards "no effect twice" and whoever asked first: two with one id cannot be told apart at the servers.
-    if (!(id_ = with_.ids.take(std::string(asked.head().value("X-Request-Id")))))
+    if (!(id_ = with_.ids.take(std::string(asked.head().value("X-Request-Id"))))) {
+        shown_.ended(use_case_, verdict::errored);
         return done(refuse(409, {}, "a query with this X-Request-Id is open\n"));
+    }
     count.add(count::taken);
     if (from_.crowded) {
         count.add(count::crowded_out);
         keeps_ = false;
-        return done(answer(503, come_back_in(given_->decisions.allow.max_advice), {}));
+        return done(final_answer(verdict::deferred, 503, come_back_in(given_->decisions.allow.max_advice)));
     }
     const auto bounded = [&] {
         wanted.made.statement_end = statement_end_ = std::min(came + wanted.patience, stop_by());
@@ -126,10 +137,10 @@
                 return "client_left";
             if (now.what == orders::kind::abort) {
                 count.add(count::aborted);
-                return done(answer(desk.now() < statement_end_ - 0.1 ? 502 : 504, {}, {}));
+                return done(final_answer(verdict::errored, desk.now() < statement_end_ - 0.1 ? 502 : 504));
             }
             count.add(count::rejected);
-            return done(answer(503, come_back_in(now.come_back), {}));
+            return done(final_answer(verdict::deferred, 503, come_back_in(now.come_back)));
         }
         // Guards against a planned end that would cut it off, and against a held query that nobody ends.
         if (desk.now() >= patience() + own_margin) {
@@ -137,7 +148,7 @@
             if (!desk.finished(ticket_))
                 desk.dropped(ticket_, outcome::canceled);
             count.add(count::aborted);
-            return done(answer(504, {}, {}));
+            return done(final_answer(verdict::errored, 504));
         }
         if (now.what == orders::kind::hold) {
             pollfd in{from_.socket.get(), POLLRDHUP, 0};
@@ -165,7 +176,7 @@
             return "client_left";
         if (end.result == outcome::completed) {
             count.add(count::completed);
-            return done(answer(200, passed_on(head), answered.body()));
+            return done(final_answer(verdict::answered, 200, passed_on(head), answered.body()));
         }
     }
 }
@@ -226,6 +237,10 @@
     return ends;
 }
 
+std::size_t of_head(long wrote, string_view head) {
+    return std::min(static_cast<std::size_t>(wrote), head.size());
+}
+
 // One execution at the server the router chose. Whatever fails before the query's last byte is written
 // never ran; after that it may have.
 execution_end life::execute(const orders &now, const http_reader &asked, http_reader &answer) {
@@ -239,11 +254,19 @@
     if (to.socket) {
         with_.count.add(count::sent);
         ++to.executions;
-        if (!write_all(to.socket, forwarded(asked, statement_end_ - desk.now()), asked.body(),
-                       patience() - desk.now()))
+        const std::string head = forwarded(asked, statement_end_ - desk.now());
+        long wrote = 0;
+        if (!with_.servers.unless_out(now.server, [&] { wrote = write_some(to.socket, head, asked.body()); }))
+            come = {outcome::ignored, "out"};
+        else if (wrote < 0 ||
+                 !write_all(to.socket, string_view(head).substr(of_head(wrote, head)),
+                            asked.body().substr(static_cast<std::size_t>(wrote) - of_head(wrote, head)),
+                            patience() - desk.now()))
             come.reason = "write_failed";
-        else
+        else {
             come = {outcome::timed_out, "timed_out"};
+            with_.shown.sent();
+        }
     }
     auto state = come.result == outcome::timed_out ? http_reader::state::more : http_reader::state::cut;
     double heard = desk.now();
@@ -305,7 +328,7 @@
 }
 
 const char *life::answer(int status, string_view fields, string_view body) {
-    keeps_ = keeps_ && !from_.last && !with_.closing();
+    keeps_ = keeps_ && !from_.last && !with_.ending() && !with_.away();
     id_ = {}; // guards a client that uses it again as soon as it has the answer
     const std::string head = answer_head(status, fields, body.size(), keeps_);
     if (!write_all(from_.socket, head, body, write_limit)) {
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -6,6 +6,7 @@
 #include "base/log.hpp"
 #include "net/buffers.hpp"
 #include "proxy/desk.hpp"
+#include "proxy/figures.hpp"
 #include "proxy/open_ids.hpp"
 #include "proxy/settings.hpp"
 #include "proxy/upstream.hpp"
@@ -14,6 +15,8 @@
 
 namespace harrierpass::proxy {
 
+inline constexpr double never = forever * 10; // Unix time, s
+
 // What all queries share.
 struct engine {
     desk &decides;
@@ -21,14 +24,21 @@
     buffer_pool &buffers;
     counters &count;
     log &lines;
+    figures &shown;
     std::function<bool()> ready;
     open_ids ids = {};
     std::atomic<double> drain_at = forever * 10; // Unix time, s, when the planned end began
     std::atomic<double> close_at = forever * 10; // likewise, from when on clients' connections close
     std::atomic<double> last_answer = 3.2;       // s after drain_at by which all is answered
 
+    std::atomic<double> away_at = forever * 10; // likewise, from when on operators send clients away
+
     bool draining() const { return decides.now() >= drain_at.load(); }
-    bool closing() const { return decides.now() >= close_at.load(); }
+    bool ending() const { return decides.now() >= close_at.load(); }
+    bool away() const { return decides.now() >= away_at.load(); }
+    // Connections at rest end, too. Sent away, that is once the front has stopped sending new ones.
+    bool closing() const { return ending() || decides.now() >= away_at.load() + away_pause; }
+    static constexpr double away_pause = 1; // s; the front asks every 0.1 s and goes on for 0.2 s
 };
 
 struct client {
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr std::size_t own_sockets = 26; // descriptors: standard ones, listener, discovery, probes, spare
-constexpr double client_share = 0.6;    // of the others, at most; a held query has a client and no server
+constexpr std::size_t door_sockets = 1 + control::most_callers; // the operators' door, where there is one
+constexpr double client_share = 0.6; // of the others, at most; a held query has a client and no server
 constexpr double tight_share = 0.3; // of all descriptors; clients may hold a third, and must find room before
 constexpr std::size_t refused_room = 32; // the listener's connections beyond its most
 constexpr double own_memory_mb = 8;      // code, router, list, log; 2 to 3 were seen
@@ -30,7 +31,8 @@
     rlimit own{};
     const bool told = getrlimit(RLIMIT_NOFILE, &own) == 0 && own.rlim_cur != RLIM_INFINITY;
     const std::size_t most = told ? std::min<std::size_t>(given.sockets, own.rlim_cur) : given.sockets;
-    return most > own_sockets + refused_room + 8 ? most - own_sockets - refused_room : 8;
+    const std::size_t kept = own_sockets + refused_room + (given.control.empty() ? 0 : door_sockets);
+    return most > kept + 8 ? most - kept : 8;
 }
 
 std::size_t most_clients(const configuration &given) {
@@ -52,10 +54,8 @@
     : given_(std::move(given)), log_(log_to, least),
       desk_(std::make_shared<const configuration>(given_), decides),
       upstream_(given_.dial_limit, given_.idle_limit, usable_sockets(given_), counters_, log_),
-      catalog_(desk_, upstream_, counters_, log_),
-      prober_(desk_, upstream_, buffers_, counters_), engine_{desk_,    upstream_,
-                                                              buffers_, counters_,
-                                                              log_,     [this] { return catalog_.ready(); }} {
+      catalog_(desk_, upstream_, counters_, log_), prober_(desk_, upstream_, buffers_, counters_),
+      engine_{desk_, upstream_, buffers_, counters_, log_, figures_, [this] { return catalog_.ready(); }} {
     mallopt(M_ARENA_MAX, 2); // guards the memory limit: an arena for each thread would hold on to much
     engine_.last_answer = std::min(longest_statement(given_), most_wait) + end_margin;
     desk_.on_probe = [this](index server) { prober_.start(server); };
@@ -63,6 +63,7 @@
     catalog_.on_adopted = [this](const configuration &now) {
         upstream_.use_limits(now.dial_limit, now.idle_limit);
         engine_.last_answer = std::min(longest_statement(now), most_wait) + end_margin;
+        figures_.name(now.use_cases);
         counters_.add(count::adopted);
         log_.info("adopted discovery=", now.discovery, " use-cases=", now.use_cases.size(),
                   " peers=", now.decisions.peers,
@@ -75,6 +76,7 @@
     if (!socket)
         throw std::system_error(errno, std::generic_category(), "cannot listen on " + given_.listen);
     at_ = local_address(socket);
+    figures_.name(given_.use_cases);
     catalog_.use_known();
     listener_.emplace(engine_, std::move(socket), most_clients(given_),
                       static_cast<std::size_t>(given_.sockets * tight_share));
@@ -82,6 +84,7 @@
         timer_.emplace([this] { desk_.run_timer([this] { return over(); }); });
         follower_.emplace([this] { catalog_.run([this] { return over(); }); });
         acceptor_.emplace([this] { listener_->run(); });
+        open_door();
     } catch (...) { // guards against waiting for ever for the threads that did start
         over_ = true;
         throw;
@@ -90,6 +93,33 @@
               " clients-at-most=", most_clients(given_));
 }
 
+void service::open_door() {
+    if (given_.control.empty())
+        return;
+    const auto where = parse_address(given_.control);
+    if (!where)
+        throw bad_text{"the operators' address, control, is not usable"};
+    tcp_socket socket = listen_on(*where);
+    if (!socket)
+        throw std::system_error(errno, std::generic_category(), "cannot listen on " + given_.control);
+    door_.emplace(std::move(socket),
+                  control_calls{
+                      .ready = [this] { return catalog_.ready() && !engine_.draining(); },
+                      .figures =
+                          [this] {
+                              const auto [listed, avoided] = catalog_.standing();
+                              return figures_page(figures_.read(), listed, avoided);
+                          },
+                      .take_out = [this](const std::string &id) { return catalog_.take_out(id); },
+                      .take_back = [this](const std::string &id) { return catalog_.take_back(id); },
+                      .send_away =
+                          [this](bool away) {
+                              engine_.away_at = away ? std::min(engine_.away_at.load(), desk_.now()) : never;
+                              log_.info(away ? "sent-away" : "back-to-work");
+                          },
+                  });
+}
+
 void service::end(double grace) {
     if (!acceptor_)
         return;
@@ -102,6 +132,7 @@
     call(follower_->id());
     follower_.reset();
     timer_.reset();
+    door_.reset();
     log_.info("ended");
 }
 
@@ -115,6 +146,7 @@
     // Guards against a file half of which would hold: what the process was started with cannot change.
     const std::pair<const char *, bool> fixed[] = {{"listen", next.listen == given_.listen},
                                                    {"name", next.name == given_.name},
+                                                   {"control", next.control == given_.control},
                                                    {"limits.sockets", next.sockets == given_.sockets},
                                                    {"limits.memory_mb", next.memory_mb == given_.memory_mb}};
     for (const auto &[field, same] : fixed)
--- a/src/proxy/service.hpp
+++ b/src/proxy/service.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "proxy/catalog.hpp"
+#include "proxy/control.hpp"
 #include "proxy/listener.hpp"
 #include "proxy/probe.hpp"
 
@@ -24,17 +25,20 @@
 
     const counters &counted() const { return counters_; }
     address at() const { return at_; }
-    std::size_t server_places() const { return catalog_.places(); } // records of servers, also of some gone
+    address door() const { return door_ ? door_->at() : address{}; } // the operators'; without size: none
+    std::size_t server_places() const { return catalog_.places(); }  // records of servers, also of some gone
     log &lines() { return log_; }
 
 private:
     bool over() const { return over_.load(); }
     double usual_grace() const;
+    void open_door();
 
     const configuration given_;
     log log_;
     counters counters_;
     buffer_pool buffers_;
+    figures figures_;
     desk desk_;
     upstream upstream_;
     catalog catalog_;
@@ -43,6 +47,7 @@
     address at_;
     std::atomic<bool> over_ = false;
     std::optional<listener> listener_;
+    std::optional<control> door_;
     std::optional<joined_thread> timer_, follower_, acceptor_;
 };
 
--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -4,6 +4,7 @@
 #include "setup/setup.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace harrierpass::proxy {
 namespace {
@@ -52,6 +53,9 @@
     made.name = all.text_at("name");
     made.listen = needed(all, "listen", "the configuration has no address to listen on");
     made.discovery = needed(all, "discovery", "the configuration has no address of discovery");
+    made.control = all.text_at("control");
+    if (const char *told = std::getenv("BALANCER_CONTROL"); made.control.empty() && told != nullptr)
+        made.control = told;
     std::uint64_t seed = 1;
     if (const auto digits = all.text_at("seed"); !digits.empty()) {
         const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seed, 16);
--- a/src/proxy/settings.hpp
+++ b/src/proxy/settings.hpp
@@ -12,6 +12,7 @@
 
 struct configuration {
     std::string name, listen, discovery;
+    std::string control; // the operators' address; empty: there is no door
     std::uint32_t seed = 1;
     double memory_mb = 192; // the platform's least, as is the next
     index sockets = 1024;   // file descriptors
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -34,6 +34,14 @@
     to.started = started;
 }
 
+void upstream::set_out(index server, bool out) {
+    const std::unique_lock alone(gate_);
+    if (out)
+        out_.insert(server);
+    else
+        out_.erase(server);
+}
+
 void upstream::leave_to_clients(std::size_t count, double now) {
     bool crowded;
     {
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -10,6 +10,8 @@
 #include <atomic>
 #include <deque>
 #include <mutex>
+#include <set>
+#include <shared_mutex>
 #include <vector>
 
 namespace harrierpass::proxy {
@@ -41,6 +43,17 @@
 
     std::string id_of(index server);
 
+    // Nothing new is written to a server that is out by hand. When set_out() returns nothing new can be.
+    void set_out(index server, bool out);
+    // Does `write`, the first of an execution or probe, unless the server is out (false).
+    template <typename Write> bool unless_out(index server, Write write) {
+        const std::shared_lock pass(gate_);
+        if (out_.contains(server))
+            return false;
+        write();
+        return true;
+    }
+
     // One that is kept, or a new one; without a socket where none came up.
     server_connection take(index server, double now);
     server_connection dial_new(index server, double now);
@@ -65,6 +78,8 @@
     const std::size_t most_;
     counters &counters_;
     log &log_;
+    std::shared_mutex gate_; // held over first writes, none of which waits
+    std::set<index> out_;
     std::mutex lock_;
     std::deque<site> sites_; // by index
     std::size_t open_ = 0, clients_ = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -503,6 +503,10 @@
         queries_[id].end = std::numeric_limits<double>::infinity();
     }
 
+    bool avoids(index id) const override {
+        return id < servers_.size() && servers_[id].at == health::suspect && !mass_doubt_;
+    }
+
     void left(double now, index id) override {
         now_ = now;
         feed(id, input::left);
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -27,6 +27,8 @@
     // follow.
     virtual void adopt(double, const settings &) {}
 
+    virtual bool avoids(index) const { return false; } // takes no queries to this server, on suspicion
+
     std::vector<action> actions; // what the last calls decided, in order; the caller empties it
 };
 
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -311,6 +311,10 @@
         std::unique_lock hold(lock_);
         changed_.wait(hold, [&] { return seen_.size() >= requests; });
     }
+    void wait_for_any(toy_server &other, std::size_t requests) { // both together
+        while (count() + other.count() < requests)
+            std::this_thread::yield();
+    }
 
 private:
     void accept_all() {
--- /dev/null
+++ b/tests/operators_test.cpp
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+// The operators' parts: their door, its figures, servers out by hand, clients sent away.
+#include "stand.hpp"
+
+namespace harrierpass::proxy {
+
+namespace {
+
+std::string call_door(int door, const std::string &what) {
+    return toy_client(door).ask(what + " HTTP/1.1\r\nHost: door\r\n\r\n");
+}
+std::string status_of(const std::string &answer) {
+    return answer.substr(0, std::min<std::size_t>(12, answer.size()));
+}
+double figure(int door, const std::string &name) {
+    const std::string page = call_door(door, "GET /metrics");
+    const auto at = page.find("\n" + name + " ");
+    return at == std::string::npos ? -1 : std::stod(page.substr(at + name.size() + 2));
+}
+std::string ended(const std::string &use_case, const std::string &how) {
+    return "app_transactions_total{group=\"" + use_case + "\",state=\"" + how + "\"}";
+}
+
+} // namespace
+
+TEST_CASE("the operators' door: what it answers") {
+    stand with({.control = true});
+    const auto is = [&](const std::string &what) { return status_of(call_door(with.door, what)); };
+    CHECK(is("GET /ready") == "HTTP/1.1 200");
+    CHECK(is("GET /metrics") == "HTTP/1.1 200");
+    CHECK(is("POST /ready") == "HTTP/1.1 405");
+    CHECK(is("GET /drain") == "HTTP/1.1 405");
+    CHECK(is("GET /other") == "HTTP/1.1 404");
+    CHECK(is("POST /cache-nodes/disable") == "HTTP/1.1 400");
+    CHECK(is("POST /cache-nodes/disable?target=") == "HTTP/1.1 400");
+    CHECK(is("POST /cache-nodes/disable?target=s0&target=s1") == "HTTP/1.1 400");
+    CHECK(is("POST /cache-nodes/disable?target=%7") == "HTTP/1.1 400");
+    CHECK(is("POST /cache-nodes/disable?target=s9") == "HTTP/1.1 404");
+    CHECK(is("POST /cache-nodes/enable?target=s9") == "HTTP/1.1 404");
+    CHECK(is("POST /cache-nodes/enable?target=%73%30") == "HTTP/1.1 200"); // s0, in use as it was
+    CHECK(is("GET /" + std::string(5000, 'a')) == "HTTP/1.1 413");
+    CHECK(status_of(toy_client(with.door).ask("nonsense\r\n\r\n")) == "HTTP/1.1 400");
+    CHECK(call_door(with.door, "GET /metrics").find("Connection: close\r\n") != std::string::npos);
+}
+
+// Guards the time of an answer against callers that say nothing: there are far more of them than places.
+TEST_CASE("silent callers delay nobody") {
+    stand with({.control = true});
+    std::list<toy_client> silent;
+    const auto from = std::chrono::steady_clock::now();
+    for (int i = 0; i < 200; ++i) {
+        silent.emplace_back(with.door);
+        if (i % 2 == 0)
+            silent.back().send("GET /met");
+        if (i % 20 == 0)
+            CHECK(status_of(call_door(with.door, "GET /metrics")) == "HTTP/1.1 200");
+    }
+    CHECK(std::chrono::steady_clock::now() - from < std::chrono::seconds(10)); // none waited a silent one out
+    std::size_t still = 0;
+    for (auto &each : silent)
+        still += !each.ended_now();
+    CHECK(still <= control::most_callers);
+}
+
+// Guards the figures: what a stand-in and the clients counted is what the page says.
+TEST_CASE("figures are what was counted") {
+    stand with(
+        {.replies = {ok("value"), "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+                     ok("value"), "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n", ok("value"), "hold"},
+         .control = true});
+    for (const char *use : {"read", "book", "bill", "audit"})
+        for (const char *how : {"answered", "deferred", "errored"})
+            CHECK(figure(with.door, ended(use, how)) == 0); // there from the start
+    CHECK(figure(with.door, "app_cluster_size") == 2);
+    CHECK(figure(with.door, "app_cluster_unhealthy") == 0);
+    toy_client client(with.port);
+    CHECK(told(client.ask(asks("read", "1"))) == "HTTP/1.1 200 [value]");
+    CHECK(told(client.ask(asks("read", "2"))) == "HTTP/1.1 200 [value]");  // turned away once
+    CHECK(told(client.ask(asks("bill", "3"))).starts_with("HTTP/1.1 50")); // must not run twice
+    CHECK(client.ask("GET /nothing/7 HTTP/1.1\r\nX-Request-Id: 8\r\n\r\n").starts_with("HTTP/1.1 400"));
+    CHECK(told(client.ask(asks("read", "4"))) == "HTTP/1.1 200 [value]");
+    client.send(asks("read", "5"));
+    with.servers[0].wait_for_any(with.servers[1], 6);
+    toy_client twin(with.port);
+    CHECK(twin.ask(asks("read", "5")).starts_with("HTTP/1.1 409"));
+    CHECK(figure(with.door, "app_current") == 1);
+    CHECK(figure(with.door, ended("read", "answered")) == 3);
+    CHECK(figure(with.door, ended("read", "errored")) == 1); // the twin
+    CHECK(figure(with.door, ended("bill", "errored")) == 1);
+    CHECK(figure(with.door, "app_sends_total") == static_cast<double>(with.executions()));
+    for (auto &server : with.servers)
+        server.push(ok("late"));
+    CHECK(told(client.read()) == "HTTP/1.1 200 [late]");
+    while (figure(with.door, "app_current") != 0)
+        std::this_thread::yield();
+    CHECK(figure(with.door, ended("read", "answered")) == 4);
+}
+
+// Guards a server that operators work on: nothing new starts there from the yes on, whatever the list says.
+TEST_CASE("a server out by hand") {
+    stand with({.control = true});
+    toy_client client(with.port);
+    const auto ask_some = [&](int from) {
+        for (int key = from; key < from + 30; ++key)
+            CHECK(told(client.ask(asks("read", std::to_string(key)))) == "HTTP/1.1 200 [value]");
+    };
+    ask_some(0);
+    CHECK(with.servers[0].count() > 0);
+    std::atomic<bool> over = false;
+    std::thread busy([&] { // queries that race with the call
+        toy_client other(with.port);
+        for (int key = 1000; !over; ++key)
+            other.ask(asks("read", std::to_string(key)));
+    });
+    for (int twice = 0; twice < 2; ++twice)
+        CHECK(status_of(call_door(with.door, "POST /cache-nodes/disable?target=s0")) == "HTTP/1.1 200");
+    const auto before = with.servers[0].count();
+    CHECK(figure(with.door, "app_cluster_unhealthy") == 1);
+    CHECK(figure(with.door, "app_cluster_size") == 2);
+    ask_some(100);
+    with.discovery.push(ok(with.list("active", true))); // a whole new list
+    ask_some(200);
+    CHECK(with.servers[0].count() <= before + 1); // the one that was on its way when the yes came
+    CHECK(status_of(call_door(with.door, "POST /cache-nodes/enable?target=s0")) == "HTTP/1.1 200");
+    CHECK(figure(with.door, "app_cluster_unhealthy") == 0);
+    const auto back = with.servers[0].count();
+    for (int key = 300; with.servers[0].count() == back; ++key) // would never end without its return
+        client.ask(asks("read", std::to_string(key)));
+    over = true;
+    busy.join();
+}
+
+// Guards clients of a proxy that is sent away, and its return.
+TEST_CASE("clients are sent away, and come back") {
+    stand with({.control = true});
+    toy_client rests(with.port), asks_on(with.port);
+    CHECK(told(rests.ask(asks("read", "1"))) == "HTTP/1.1 200 [value]");
+    CHECK(told(asks_on.ask(asks("read", "2"))) == "HTTP/1.1 200 [value]");
+    CHECK(status_of(call_door(with.door, "POST /undrain")) == "HTTP/1.1 200"); // nothing to end
+    for (int twice = 0; twice < 2; ++twice)
+        CHECK(status_of(call_door(with.door, "POST /drain")) == "HTTP/1.1 200");
+    CHECK_FALSE(with.test_ready());
+    CHECK(status_of(call_door(with.door, "GET /ready")) == "HTTP/1.1 200"); // it takes clients still
+    const std::string last = asks_on.ask(asks("read", "3"));
+    CHECK(told(last) == "HTTP/1.1 200 [value]");
+    CHECK(last.find("\r\nConnection: close\r\n") != std::string::npos);
+    CHECK(rests.ended());
+    CHECK(told(toy_client(with.port).ask(asks("read", "4"))) == "HTTP/1.1 200 [value]");
+    CHECK(status_of(call_door(with.door, "POST /undrain")) == "HTTP/1.1 200");
+    CHECK(with.test_ready());
+    toy_client again(with.port);
+    for (int key = 5; key < 7; ++key)
+        CHECK(again.ask(asks("read", std::to_string(key))).find("Connection: close") == std::string::npos);
+}
+
+} // namespace harrierpass::proxy
--- /dev/null
+++ b/tests/stand.hpp
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+// Discovery, two servers and a proxy before them on loopback, for the tests of the proxy.
+#pragma once
+
+#include "helpers.hpp"
+
+#include "proxy/service.hpp"
+
+#include <atomic>
+#include <doctest/doctest.h>
+
+namespace harrierpass::proxy {
+using test::ok;
+using test::toy_client;
+using test::toy_server;
+
+struct stand_options {
+    std::vector<std::string> replies = {}; // in order, whichever server is asked; then 200 "value"
+    int sockets = 256;
+    bool control = false; // the operators' door, at a port of its own
+    std::string family = "{}";
+    bool silent = false; // discovery, while the proxy knows the list
+    int statement_ms = 3000;
+    bool starts = true; // the proxy
+};
+
+// Discovery, two servers that answer by one list of texts, and a proxy before them.
+struct stand {
+    explicit stand(const stand_options &given = {}) : replies(given.replies), silent(given.silent) {
+        const auto use = [&](const char *name, const char *effect, int slo_ms) {
+            return R"({"group":"all","windowMs":9000,"importance":1,"name":")" + std::string(name) +
+                   R"(","effect":")" + effect + R"(","sloTimeMs":)" + std::to_string(slo_ms) +
+                   R"(,"statementTimeoutMs":)" + std::to_string(given.statement_ms) + "}";
+        };
+        config = R"({"name":"p0","listen":"127.0.0.1:0","discovery":")" + discovery.at() +
+                 R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" + std::to_string(given.sockets) +
+                 R"(},"known":)" + (given.silent ? list("active", true) : "null") +
+                 (given.control ? R"(,"control":"127.0.0.1:0")" : "") +
+                 R"(,"settings":{"peersTotal":1,"tickMs":5,"rules":{"drainGraceMs":400},
+            "limits":{"maxExecutions":4,"cancel":true,"probes":true,"retryAfter":true,"maxRetryAfterMs":1500,
+                "dialTimeoutMs":250,"connIdleMs":400},
+            "tenants":[{"name":"acme","quotaRps":1000}],"zones":["a","b"],"shapes":["m","o"],"familyInfo":)" +
+                 given.family + R"(,"useCases":[)" + use("read", "idempotent", 200) + "," +
+                 use("book", "deduplicated", 200) + "," + use("bill", "at_most_once", 200) + "," +
+                 use("audit", "at_most_once", 10000) + "]}}";
+        if (!given.starts)
+            return;
+        proxy = std::make_unique<service>(read_configuration(config), lines, level::debug);
+        port = ntohs(reinterpret_cast<const sockaddr_in &>(proxy->at().where).sin_port);
+        door = ntohs(reinterpret_cast<const sockaddr_in &>(proxy->door().where).sin_port);
+        while (!test_ready())
+            std::this_thread::yield();
+    }
+    bool test_ready() {
+        return toy_client(port).ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200");
+    }
+    std::string reply() {
+        const std::lock_guard hold(lock);
+        const std::size_t at = next++;
+        return at < replies.size() ? replies[at] : ok("value");
+    }
+    std::string list(const std::string &first_phase, bool whole_list) {
+        const auto entry = [](const char *id, const std::string &at, const std::string &phase,
+                              const char *kind = "m") {
+            return std::string(R"({"id":")") + id + R"(","host_port":")" + at +
+                   R"(","locality":"a","flavor":")" + kind + R"(","cell":0,"phase":")" + phase +
+                   R"(","size":1.0,"up_since_ms":0})";
+        };
+        return std::string(R"({"revision":)") + (whole_list ? "41" : "42") + R"(,"complete":)" +
+               (whole_list ? "true" : "false") + R"(,"members":[)" +
+               entry("s0", servers[0].at(), first_phase) +
+               (whole_list ? "," + entry("s1", servers[1].at(), "active", "o") : "") + "]}";
+    }
+    std::size_t executions() { return servers[0].count() + servers[1].count(); }
+    void wait_for_execution() {
+        while (executions() == 0)
+            std::this_thread::yield();
+    }
+
+    std::mutex lock;
+    std::vector<std::string> replies;
+    std::size_t next = 0;
+    std::atomic<bool> silent, leaving = false; // discovery; the first server, in whole lists
+    std::ostringstream lines;
+    std::array<toy_server, 2> servers{toy_server([this](const std::string &) { return reply(); }),
+                                      toy_server([this](const std::string &) { return reply(); })};
+    toy_server discovery{[this](const std::string &request) {
+        return silent || request.find("since=") != std::string::npos
+                   ? "hold"
+                   : ok(list(leaving ? "leaving" : "active", true));
+    }};
+    std::string config;
+    std::unique_ptr<service> proxy;
+    int port = 0, door = 0;
+};
+
+inline std::string asks(const std::string &use, const std::string &key,
+                        const std::string &deadline = "2500m") {
+    const bool write = use != "read";
+    return (write ? "PUT /" : "GET /") + use + "/" + key +
+           " HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: 9b" + key + "\r\nX-Class: " + use +
+           "\r\nX-Tenant: acme\r\nX-Deadline: " + deadline +
+           (write ? "\r\nIdempotency-Key: k" + key + "\r\nContent-Length: 4\r\n\r\nbody" : "\r\n\r\n");
+}
+
+inline std::string told(const std::string &answer) {
+    const auto head = answer.find("\r\n\r\n");
+    return answer.substr(0, 12) + (head == std::string::npos ? " cut" : " [" + answer.substr(head + 4) + "]");
+}
+
+} // namespace harrierpass::proxy
