A new version takes over under load: the listening socket is handed to it

Cause: the second process could not listen on the clients' address and exited (fault), and the old one's queue would have been reset. Change: handover.cpp, and listener.cpp leaves the queue to a successor that is ready. Tests: a new version under load, a successor that dies, messages; the first of them hangs still in one place and is looked at next.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -75,11 +75,13 @@
     return made;
 }
 
-tcp_socket listen_on(const address &at) {
+tcp_socket listen_on(const address &at, bool shared) {
     tcp_socket made(::socket(at.where.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
     if (!made)
         return made;
     set_flag(made.get(), SOL_SOCKET, SO_REUSEADDR); // the address is the same after a restart
+    if (shared)
+        set_flag(made.get(), SOL_SOCKET, SO_REUSEPORT);
     if (::bind(made.get(), reinterpret_cast<const sockaddr *>(&at.where), at.size) != 0 ||
         ::listen(made.get(), backlog) != 0) {
         const int why = errno;
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -39,7 +39,7 @@
 
 // Empty: errno tells why. A connection that is not up within the limit never came up.
 tcp_socket dial(const address &to, double limit);
-tcp_socket listen_on(const address &at);
+tcp_socket listen_on(const address &at, bool shared = false); // shared: others of this user may listen, too
 address local_address(const tcp_socket &of);
 
 // Empty when none is waiting or none can be had; errno tells.
--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t list_limit = 1024UL * 1024; // bytes; some 8,000 entries
+constexpr double long_warm = 3600;                // s; no server is cold for longer
 constexpr double nap = 0.02;                      // s between looks whether the router asks again
 
 } // namespace
@@ -107,12 +108,12 @@
     desk_.listed(list_kind::changes, {&entry, 1});
 }
 
-bool catalog::take_out(const std::string &id) {
+bool catalog::take_out(const std::string &id, bool unknown_too) {
     const std::lock_guard hold(members_);
     const auto at = index_of_.find(id);
-    if (at == index_of_.end())
+    if (at == index_of_.end() && !unknown_too)
         return hands_.out.contains(id);
-    if (!hands_.out.insert(id).second)
+    if (!hands_.out.insert(id).second || at == index_of_.end())
         return true;
     upstream_.set_out(at->second, true);
     tell_again(id);
@@ -126,7 +127,9 @@
     const auto at = index_of_.find(id);
     if (hands_.out.erase(id) == 0)
         return at != index_of_.end();
-    hands_.back[id] = desk_.now();
+    const double now = desk_.now();
+    std::erase_if(hands_.back, [&](const auto &each) { return now - each.second > long_warm; });
+    hands_.back[id] = now;
     if (at != index_of_.end())
         upstream_.set_out(at->second, false);
     tell_again(id);
@@ -139,9 +142,9 @@
     return hands_;
 }
 
-void catalog::use_hands(const by_hand &from) {
+void catalog::came_back(const std::string &id, double at) {
     const std::lock_guard hold(members_);
-    hands_ = from;
+    hands_.back[id] = at;
 }
 
 std::pair<std::size_t, std::size_t> catalog::standing() {
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -35,15 +35,15 @@
     void use_known(); // the list that the configuration brought
     // Out by hand: nothing new goes there from the return on, whatever the list says, until it is taken back,
     // and it is cold then. Once is enough for both. False: nobody has or had that id.
-    bool take_out(const std::string &id);
+    bool take_out(const std::string &id, bool unknown_too = false);
     bool take_back(const std::string &id);
     struct by_hand {
         std::set<std::string> out;
         std::map<std::string, double> back; // when it came back, Unix time, s
     };
-    by_hand hands();                                // a copy
-    void use_hands(const by_hand &from);            // another process's, before the list is told
-    std::pair<std::size_t, std::size_t> standing(); // servers in the list, and of them those avoided
+    void came_back(const std::string &id, double at); // another process's word; before the list is told
+    by_hand hands();                                  // a copy
+    std::pair<std::size_t, std::size_t> standing();   // servers in the list, and of them those avoided
     void ask() { asked_.store(true); }
     // Another configuration: its discovery is asked for the whole list, by whose coming both take force in
     // one step; until then list and configuration stand. The follower's thread is to be called after this.
--- /dev/null
+++ b/src/proxy/handover.cpp
@@ -0,0 +1,313 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "proxy/handover.hpp"
+
+#include "base/text.hpp"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+namespace harrierpass::proxy {
+namespace {
+
+constexpr double ask_limit = 1;                      // s for the process that serves to hand over
+constexpr std::chrono::milliseconds tell_limit{400}; // for the others; operators wait no longer than 1 s
+constexpr double used_period = 0.05;                 // s between words on descriptors
+constexpr std::size_t most_links = 4;                // successors at a time; the platform starts one
+constexpr std::size_t message_limit = 128UL * 1024;  // bytes; some thousand servers out by hand
+constexpr std::string_view kinds = "hobtarud";
+
+// A local socket's name may be longer than the system takes: then by way of the open directory.
+class local_name {
+public:
+    local_name(const std::string &directory, const std::string &name) {
+        std::string path = directory + "/" + name;
+        if (path.size() >= sizeof at_.sun_path) {
+            directory_ = tcp_socket(::open(directory.c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC));
+            path = "/proc/self/fd/" + std::to_string(directory_.get()) + "/" + name;
+        }
+        at_.sun_family = AF_UNIX;
+        usable_ = path.size() < sizeof at_.sun_path;
+        if (usable_)
+            std::memcpy(at_.sun_path, path.c_str(), path.size() + 1);
+    }
+    bool usable() const { return usable_; }
+    const sockaddr *get() const { return reinterpret_cast<const sockaddr *>(&at_); }
+    const char *path() const { return at_.sun_path; }
+
+private:
+    sockaddr_un at_{};
+    tcp_socket directory_; // any descriptor
+    bool usable_ = false;
+};
+
+tcp_socket local_socket() {
+    return tcp_socket(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+}
+
+// Guards against taking another user's word.
+bool is_ours(const tcp_socket &from) {
+    ucred who{};
+    socklen_t size = sizeof who;
+    return ::getsockopt(from.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) == 0 && who.uid == ::getuid();
+}
+
+// One message and, if it brings one, a descriptor. Empty: nothing there (errno EAGAIN), or the end.
+std::string receive(const tcp_socket &from, tcp_socket &with) {
+    std::string text(message_limit, '\0');
+    iovec part{text.data(), text.size()};
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
+    msghdr message{};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control.data();
+    message.msg_controllen = control.size();
+    errno = 0;
+    const auto got = ::recvmsg(from.get(), &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
+    text.resize(got > 0 ? static_cast<std::size_t>(got) : 0);
+    for (cmsghdr *each = got > 0 ? CMSG_FIRSTHDR(&message) : nullptr; each != nullptr;
+         each = CMSG_NXTHDR(&message, each)) {
+        if (each->cmsg_level != SOL_SOCKET || each->cmsg_type != SCM_RIGHTS)
+            continue;
+        int fd = -1;
+        std::memcpy(&fd, CMSG_DATA(each), sizeof fd);
+        with = tcp_socket(fd);
+    }
+    return text;
+}
+
+} // namespace
+
+std::string to_message(const std::vector<news> &from) {
+    std::string made;
+    for (const auto &each : from)
+        made.append(1, static_cast<char>(each.what))
+            .append(std::to_string(each.text.size()))
+            .append(":")
+            .append(each.text);
+    return made;
+}
+
+std::vector<news> read_message(std::string_view from) {
+    static constexpr const char *bad = "a message of the other process cannot be read";
+    std::vector<news> made;
+    while (!from.empty()) {
+        const auto colon = from.find(':');
+        if (kinds.find(from[0]) == std::string_view::npos || colon == std::string_view::npos)
+            throw bad_text{bad};
+        const auto size = parse_number<std::size_t>(from.substr(1, colon - 1), bad);
+        if (size > from.size() - colon - 1)
+            throw bad_text{bad};
+        made.push_back({static_cast<news::kind>(from[0]), std::string(from.substr(colon + 1, size))});
+        from.remove_prefix(colon + 1 + size);
+    }
+    return made;
+}
+
+handover::handover(const std::string &directory, const std::string &listen)
+    : directory_(directory), name_("harrierpass-" + listen + ".sock") {}
+
+handover::~handover() {
+    over_ = true;
+    if (thread_)
+        call(thread_->id());
+    thread_.reset();
+}
+
+std::optional<std::pair<tcp_socket, std::vector<news>>> handover::take() {
+    const local_name at(directory_, name_);
+    link one{local_socket()};
+    if (!at.usable() || !one.socket || ::connect(one.socket.get(), at.get(), sizeof(sockaddr_un)) != 0 ||
+        !is_ours(one.socket) || !write(one, {{news::kind::hello, {}}}))
+        return std::nullopt;
+    const double end = steady_now() + ask_limit;
+    while (steady_now() < end) {
+        pollfd in{one.socket.get(), POLLIN, 0};
+        ::poll(&in, 1, static_cast<int>((end - steady_now()) * 1000) + 1); // the program's first thread
+        tcp_socket with;
+        const std::string text = receive(one.socket, with);
+        if (text.empty() && errno == EAGAIN)
+            continue;
+        if (text.empty() || !with)
+            return std::nullopt;
+        try {
+            auto state = read_message(text);
+            for (const auto &each : state)
+                if (each.what == news::kind::used)
+                    one.used = parse_number<std::size_t>(each.text, "no number of descriptors");
+            links_.push_back(std::move(one));
+            return std::pair(std::move(with), std::move(state));
+        } catch (const bad_text &) {
+            return std::nullopt;
+        }
+    }
+    return std::nullopt;
+}
+
+void handover::run(calls with, const tcp_socket &listening) {
+    calls_ = std::move(with);
+    listening_ = listening.get();
+    if (!links_.empty())
+        after_change(); // from the start on: what the process before uses is not ours
+    thread_.emplace([this] { loop(); });
+}
+
+void handover::serve() {
+    serves_ = true;
+    tell({news::kind::ready, {}});
+    call(thread_->id());
+}
+
+// Made beside its place and moved there in one step: guards a second successor against a moment without one,
+// and against what a killed process left.
+void handover::open_door() {
+    door_ = local_socket();
+    const local_name beside(directory_, name_ + "." + std::to_string(::getpid())), at(directory_, name_);
+    if (!door_ || !beside.usable() || !at.usable())
+        return;
+    ::unlink(beside.path());
+    if (::bind(door_.get(), beside.get(), sizeof(sockaddr_un)) != 0 ||
+        ::listen(door_.get(), most_links) != 0 || std::rename(beside.path(), at.path()) != 0)
+        door_.close();
+}
+
+void handover::loop() {
+    double told = 0;
+    std::vector<pollfd> waits;
+    while (!over_) {
+        if (serves_ && !door_)
+            open_door();
+        waits.assign(1, {door_.get(), POLLIN, 0});
+        {
+            const std::lock_guard hold(lock_);
+            for (const auto &each : links_)
+                waits.push_back({each.socket.get(), POLLIN, 0});
+        }
+        const bool alone = waits.size() == 1;
+        wait_on(waits, alone ? forever : used_period);
+        bool changed = false;
+        auto in = waits.begin() + 1;
+        // Only this thread adds links and takes them off; tell() looks at them.
+        for (auto each = links_.begin(); in != waits.end(); ++in) {
+            const bool stays = in->revents == 0 || hear(*each);
+            changed = changed || in->revents != 0;
+            if (stays) {
+                ++each;
+                continue;
+            }
+            const std::lock_guard hold(lock_);
+            each = links_.erase(each);
+        }
+        if (waits.front().revents != 0) {
+            tcp_socket from(::accept4(door_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+            if (from && is_ours(from) && links_.size() < most_links) {
+                const std::lock_guard hold(lock_);
+                links_.push_back({std::move(from)});
+                changed = true;
+            }
+        }
+        if (changed)
+            after_change();
+        if (steady_now() - told < used_period || alone)
+            continue;
+        told = steady_now();
+        const std::string used = std::to_string(calls_.used());
+        const std::lock_guard hold(lock_);
+        for (auto &each : links_)
+            write(each, {{news::kind::used, used}});
+    }
+}
+
+bool handover::hear(link &from) {
+    tcp_socket none_expected;
+    const std::string text = receive(from.socket, none_expected);
+    if (text.empty())
+        return errno == EAGAIN;
+    std::vector<news> all;
+    try {
+        all = read_message(text);
+        for (const auto &each : all) {
+            switch (each.what) {
+            case news::kind::hello:
+                from.successor = true;
+                if (!write(from, calls_.state(), listening_))
+                    return false;
+                continue;
+            case news::kind::used: {
+                from.used = parse_number<std::size_t>(each.text, "no number of descriptors");
+                continue;
+            }
+            case news::kind::done: {
+                const std::lock_guard hold(lock_);
+                ++from.done;
+                carried_out_.notify_all();
+                continue;
+            }
+            case news::kind::ready:
+                from.ready = true;
+                after_change();
+                break;
+            default:
+                calls_.heard(each);
+            }
+            const std::lock_guard hold(lock_);
+            for (auto &other : links_) // a third process, where one upgrade follows another
+                if (&other != &from && each.what != news::kind::ready && write(other, {each}))
+                    ++other.sent;
+            write(from, {{news::kind::done, {}}});
+        }
+    } catch (const bad_text &) { // of another version, say: it is treated as gone
+        return false;
+    }
+    return true;
+}
+
+void handover::after_change() {
+    std::size_t used = 0;
+    bool succeeded = false;
+    for (const auto &each : links_) {
+        used += each.used;
+        succeeded = succeeded || (each.successor && each.ready);
+    }
+    succeeded_ = succeeded;
+    calls_.others(used);
+}
+
+void handover::tell(const news &what) {
+    std::unique_lock hold(lock_);
+    for (auto &each : links_)
+        if (write(each, {what}))
+            ++each.sent;
+    carried_out_.wait_for(hold, tell_limit, [&] {
+        return std::all_of(links_.begin(), links_.end(),
+                           [](const link &each) { return each.done >= each.sent; });
+    });
+}
+
+// Its room is far beyond what is said in a moment, so a full one is a process that hangs.
+bool handover::write(link &to, const std::vector<news> &what, int with_socket) {
+    const std::string text = to_message(what);
+    iovec part{const_cast<char *>(text.data()), text.size()};
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int))> control{};
+    msghdr message{};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    if (with_socket >= 0) {
+        message.msg_control = control.data();
+        message.msg_controllen = control.size();
+        cmsghdr *const head = CMSG_FIRSTHDR(&message);
+        head->cmsg_level = SOL_SOCKET;
+        head->cmsg_type = SCM_RIGHTS;
+        head->cmsg_len = CMSG_LEN(sizeof(int));
+        std::memcpy(CMSG_DATA(head), &with_socket, sizeof with_socket);
+    }
+    return ::sendmsg(to.socket.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0;
+}
+
+} // namespace harrierpass::proxy
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -28,10 +28,11 @@
     double tidied = 0;
     bool told = false; // the connections, that they are to close
     for (;;) {
-        pollfd in{socket_.get(), POLLIN, 0};
+        const bool takes = !succeeded();
+        pollfd in{takes ? socket_.get() : -1, POLLIN, 0};
         const double now = with_.decides.now();
         wait_on({&in, 1}, with_.draining() ? short_pause : look_period);
-        while (take_one()) {
+        while (takes && !succeeded() && take_one()) {
         }
         if (now - tidied > look_period) {
             tidied = now;
@@ -45,7 +46,7 @@
             break;
     }
     // Whoever connected since the last look is served still.
-    while (take_one()) {
+    while (!succeeded() && take_one()) {
     }
     while (connections() > 0)
         wait_on({}, short_pause);
--- a/src/proxy/listener.hpp
+++ b/src/proxy/listener.hpp
@@ -16,6 +16,14 @@
     listener(engine &with, tcp_socket on, std::size_t most, std::size_t tight)
         : with_(with), socket_(std::move(on)), most_(most), tight_(std::min(most, tight)) {}
 
+    // So many connections from now on; another process of this proxy has the others.
+    void use_most(std::size_t most, std::size_t tight) {
+        most_ = most;
+        tight_ = std::min(most, tight);
+    }
+    // Asked before each connection that is taken: whether another process takes them now.
+    std::function<bool()> succeeded = [] { return false; };
+    const tcp_socket &socket() const { return socket_; }
     // The accepting thread's. Ends once connections are to close and nothing is left.
     void run();
 
@@ -40,7 +48,7 @@
 
     engine &with_;
     tcp_socket socket_;
-    const std::size_t most_, tight_;
+    std::atomic<std::size_t> most_, tight_;
     std::mutex lock_;
     std::list<entry> entries_;
 };
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -93,7 +93,8 @@
     };
 
     if (asked.head().target == "/_health")
-        return done(answer(with_.ready() && !with_.draining() && !with_.away() ? 200 : 503, {}, {}));
+        return done(answer(
+            with_.ready() && (!with_.draining() || with_.handed_over) && !with_.away() ? 200 : 503, {}, {}));
     if (asked.head().method != "GET" && asked.head().method != "PUT")
         return done(refuse(405, "Allow: GET, PUT\r\n", "a query is a GET or a PUT\n"));
     given_ = desk.given();
@@ -328,7 +329,7 @@
 }
 
 const char *life::answer(int status, string_view fields, string_view body) {
-    keeps_ = keeps_ && !from_.last && !with_.ending() && !with_.away();
+    keeps_ = keeps_ && !from_.last && !with_.ending() && !with_.away() && !with_.handed_over;
     id_ = {}; // guards a client that uses it again as soon as it has the answer
     const std::string head = answer_head(status, fields, body.size(), keeps_);
     if (!write_all(from_.socket, head, body, write_limit)) {
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -33,6 +33,8 @@
 
     std::atomic<double> away_at = forever * 10; // likewise, from when on operators send clients away
 
+    std::atomic<bool> handed_over = false; // another process takes the clients; this one ends
+
     bool draining() const { return decides.now() >= drain_at.load(); }
     bool ending() const { return decides.now() >= close_at.load(); }
     bool away() const { return decides.now() >= away_at.load(); }
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -25,6 +25,7 @@
 constexpr double most_wait = 3;          // s; the platform waits no longer for the last answers ...
 constexpr double end_margin = 0.3;       // s; ... and somewhat more than this
 constexpr double least_grace = 0.7;      // s; new connections come for 0.4 s after the signal
+constexpr double short_wait = 0.005;     // s between looks whether the list is there
 constexpr double grace_share = 0.5;      // of the time until the last answers; the rest is for those
 
 std::size_t usable_sockets(const configuration &given) {
@@ -72,7 +73,10 @@
     const auto where = parse_address(given_.listen);
     if (!where)
         throw bad_text{"the address to listen on is not usable"};
-    tcp_socket socket = listen_on(*where);
+    tcp_socket socket = take_over(*where);
+    const bool inherited = static_cast<bool>(socket);
+    if (!inherited)
+        socket = listen_on(*where, handover_.has_value());
     if (!socket)
         throw std::system_error(errno, std::generic_category(), "cannot listen on " + given_.listen);
     at_ = local_address(socket);
@@ -83,14 +87,23 @@
     try {
         timer_.emplace([this] { desk_.run_timer([this] { return over(); }); });
         follower_.emplace([this] { catalog_.run([this] { return over(); }); });
-        acceptor_.emplace([this] { listener_->run(); });
+        link_up();
+        acceptor_.emplace([this, inherited] {
+            // Guards clients against a successor that does not know its servers yet.
+            while (inherited && !catalog_.ready())
+                wait_on({}, short_wait);
+            if (handover_)
+                handover_->serve();
+            takes_ = true;
+            listener_->run();
+        });
         open_door();
     } catch (...) { // guards against waiting for ever for the threads that did start
         over_ = true;
         throw;
     }
     log_.info("started name=", given_.name, " listen=", to_text(at_),
-              " clients-at-most=", most_clients(given_));
+              " clients-at-most=", most_clients(given_), " control=", door_ ? to_text(door_->at()) : "none");
 }
 
 void service::open_door() {
@@ -104,26 +117,130 @@
         throw std::system_error(errno, std::generic_category(), "cannot listen on " + given_.control);
     door_.emplace(std::move(socket),
                   control_calls{
-                      .ready = [this] { return catalog_.ready() && !engine_.draining(); },
+                      .ready = [this] { return takes_ && catalog_.ready() && !engine_.draining(); },
                       .figures =
                           [this] {
                               const auto [listed, avoided] = catalog_.standing();
                               return figures_page(figures_.read(), listed, avoided);
                           },
-                      .take_out = [this](const std::string &id) { return catalog_.take_out(id); },
-                      .take_back = [this](const std::string &id) { return catalog_.take_back(id); },
+                      .take_out =
+                          [this](const std::string &id) {
+                              if (!catalog_.take_out(id))
+                                  return false;
+                              tell_others({news::kind::out, id});
+                              return true;
+                          },
+                      .take_back =
+                          [this](const std::string &id) {
+                              if (!catalog_.take_back(id))
+                                  return false;
+                              tell_others({news::kind::back, id});
+                              return true;
+                          },
                       .send_away =
                           [this](bool away) {
-                              engine_.away_at = away ? std::min(engine_.away_at.load(), desk_.now()) : never;
-                              log_.info(away ? "sent-away" : "back-to-work");
+                              const news what{news::kind::away, away ? "1" : "0"};
+                              operators_say(what);
+                              tell_others(what);
                           },
                   });
 }
 
+// The listening socket of the process that serves, with what operators asked of it; empty: nobody hands it
+// over.
+tcp_socket service::take_over(const address &where) {
+    const char *const directory = std::getenv("TMPDIR");
+    if (given_.control.empty() || directory == nullptr || *directory == '\0')
+        return {};
+    handover_.emplace(directory, given_.listen);
+    auto taken = handover_->take();
+    if (!taken)
+        return {};
+    auto &[socket, state] = *taken;
+    const bool any_port = given_.listen.ends_with(":0");
+    if (!any_port && to_text(local_address(socket)) != to_text(where)) {
+        log_.warning("handover-refused reason=address");
+        return {};
+    }
+    for (const auto &each : state)
+        operators_say(each);
+    log_.info("taken-over out=", catalog_.hands().out.size(), " away=", engine_.away());
+    return std::move(socket);
+}
+
+void service::link_up() {
+    if (!handover_)
+        return;
+    listener_->succeeded = [this] { return handover_->succeeded(); };
+    const handover::calls calls{
+        .state =
+            [this] {
+                std::vector<news> made;
+                const auto hands = catalog_.hands();
+                for (const auto &id : hands.out)
+                    made.push_back({news::kind::out, id});
+                for (const auto &[id, at] : hands.back)
+                    made.push_back({news::kind::back_at, std::to_string(at) + " " + id});
+                made.push_back({news::kind::away, engine_.away() ? "1" : "0"});
+                made.push_back({news::kind::used, std::to_string(upstream_.in_use() + own_sockets)});
+                return made;
+            },
+        .heard = [this](const news &what) { operators_say(what); },
+        .used = [this] { return upstream_.in_use() + own_sockets; },
+        .others = [this](std::size_t used) { leave_others(used); }};
+    handover_->run(calls, listener_->socket());
+}
+
+// What operators asked of one process of this proxy holds for all.
+void service::operators_say(const news &what) {
+    switch (what.what) {
+    case news::kind::out:
+        catalog_.take_out(what.text, true);
+        break;
+    case news::kind::back:
+        catalog_.take_back(what.text);
+        break;
+    case news::kind::back_at: {
+        const auto space = what.text.find(' ');
+        if (space != std::string::npos)
+            catalog_.came_back(what.text.substr(space + 1),
+                               parse_number<double>(what.text.substr(0, space), "no time of a return"));
+        break;
+    }
+    case news::kind::away: {
+        const bool away = what.text == "1";
+        if (away != engine_.away())
+            log_.info(away ? "sent-away" : "back-to-work");
+        engine_.away_at = away ? std::min(engine_.away_at.load(), desk_.now()) : never;
+        break;
+    }
+    case news::kind::ready:
+        log_.info("succeeded");
+        break;
+    default:
+        break;
+    }
+}
+
+void service::tell_others(const news &what) {
+    if (handover_)
+        handover_->tell(what);
+}
+
+// Descriptors that the other process of this proxy uses.
+void service::leave_others(std::size_t used) {
+    const std::size_t all = usable_sockets(given_);
+    const std::size_t left = all > used + 8 ? all - used : 8;
+    upstream_.use_most(left, desk_.now());
+    listener_->use_most(std::min(most_clients(given_), static_cast<std::size_t>(left * client_share)),
+                        static_cast<std::size_t>(given_.sockets * tight_share));
+}
+
 void service::end(double grace) {
     if (!acceptor_)
         return;
-    log_.info("draining grace=", grace);
+    engine_.handed_over = handover_ && handover_->succeeded();
+    log_.info("draining grace=", grace, " handed-over=", engine_.handed_over.load());
     engine_.close_at = desk_.now() + grace;
     engine_.drain_at = desk_.now();
     call(acceptor_->id());
@@ -133,6 +250,7 @@
     follower_.reset();
     timer_.reset();
     door_.reset();
+    handover_.reset();
     log_.info("ended");
 }
 
--- a/src/proxy/service.hpp
+++ b/src/proxy/service.hpp
@@ -4,6 +4,7 @@
 
 #include "proxy/catalog.hpp"
 #include "proxy/control.hpp"
+#include "proxy/handover.hpp"
 #include "proxy/listener.hpp"
 #include "proxy/probe.hpp"
 
@@ -33,6 +34,11 @@
     bool over() const { return over_.load(); }
     double usual_grace() const;
     void open_door();
+    tcp_socket take_over(const address &where);
+    void link_up();
+    void operators_say(const news &what);
+    void tell_others(const news &what);
+    void leave_others(std::size_t used);
 
     const configuration given_;
     log log_;
@@ -45,8 +51,9 @@
     prober prober_;
     engine engine_;
     address at_;
-    std::atomic<bool> over_ = false;
+    std::atomic<bool> over_ = false, takes_ = false;
     std::optional<listener> listener_;
+    std::optional<handover> handover_;
     std::optional<control> door_;
     std::optional<joined_thread> timer_, follower_, acceptor_;
 };
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -34,6 +34,17 @@
     to.started = started;
 }
 
+void upstream::use_most(std::size_t most, double now) {
+    most_ = most;
+    while (in_use() > most && end_oldest(now)) {
+    }
+}
+
+std::size_t upstream::in_use() {
+    const std::lock_guard hold(lock_);
+    return open_ + clients_;
+}
+
 void upstream::set_out(index server, bool out) {
     const std::unique_lock alone(gate_);
     if (out)
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -36,6 +36,9 @@
         dial_limit_ = dial;
         idle_limit_ = idle;
     }
+    // Another process holds some: so many are left for all connections together.
+    void use_most(std::size_t most, double now);
+    std::size_t in_use(); // connections, clients' ones too
     // So many descriptors are clients' now; what is kept beyond the rest ends.
     void leave_to_clients(std::size_t count, double now);
     // Where a server is. The index may have been another's, to which nothing refers any more.
@@ -75,7 +78,7 @@
     void close(ended &those, double now);
 
     std::atomic<double> dial_limit_, idle_limit_;
-    const std::size_t most_;
+    std::atomic<std::size_t> most_;
     counters &counters_;
     log &log_;
     std::shared_mutex gate_; // held over first writes, none of which waits
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -449,9 +449,10 @@
         if (text_.find(part) == std::string::npos)
             throw std::runtime_error("it ended without writing " + part);
     }
-    std::string after(const std::string &part) {
+    std::string after(const std::string &part) { // empty: it is not there
         const std::string all = text();
-        return all.substr(all.find(part) + part.size());
+        const auto at = all.find(part);
+        return at == std::string::npos ? "" : all.substr(at + part.size());
     }
     int status() { // of its end, which is waited for; negative: a signal ended it
         int how = 0;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -153,4 +153,124 @@
         CHECK(again.ask(asks("read", std::to_string(key))).find("Connection: close") == std::string::npos);
 }
 
+// ---- A new version under load
+
+namespace {
+
+int free_port() {
+    toy_server here([](const std::string &) { return "close"; });
+    const std::string at = here.at();
+    return std::stoi(at.substr(at.rfind(':') + 1));
+}
+
+// A private directory as the platform gives one, for as long as it lives.
+struct own_directory {
+    own_directory()
+        : path(std::filesystem::temp_directory_path() / ("harrierpass-test-" + std::to_string(::getpid()))) {
+        std::filesystem::create_directory(path);
+        ::setenv("TMPDIR", path.c_str(), 1);
+    }
+    ~own_directory() {
+        ::unsetenv("TMPDIR");
+        std::filesystem::remove_all(path);
+    }
+    std::filesystem::path path;
+};
+
+// Clients that ask all the time, each query on a new connection or on one that is kept while it may be.
+struct load {
+    explicit load(int port) {
+        for (int i = 0; i < 4; ++i)
+            threads.emplace_back([this, port, i] {
+                std::unique_ptr<toy_client> kept;
+                for (int key = 0; !over; ++key) {
+                    if (!kept)
+                        kept = std::make_unique<toy_client>(port);
+                    const std::string id = std::to_string(i) + "x" + std::to_string(key);
+                    const std::string answer = kept->ask(asks("read", id));
+                    const bool whole = told(answer) == "HTTP/1.1 200 [value]";
+                    (whole ? good : bad) += 1;
+                    if (!whole || i % 2 == 0 || answer.find("Connection: close") != std::string::npos)
+                        kept.reset();
+                }
+            });
+    }
+    void finish() {
+        over = true;
+        for (auto &each : threads)
+            each.join();
+    }
+    void wait_for(int more) const {
+        for (const int until = good + more; good < until;)
+            std::this_thread::yield();
+    }
+    std::atomic<int> good = 0, bad = 0;
+    std::atomic<bool> over = false;
+    std::list<std::thread> threads;
+};
+
+} // namespace
+
+// Guards clients at an upgrade: none is refused, reset or unanswered; what operators asked for is handed on.
+TEST_CASE("a new version takes over under load") {
+    const own_directory own;
+    stand with({.port = free_port(), .control = true, .starts = false});
+    auto first = std::make_unique<running>(with, "first.json");
+    CHECK(status_of(call_door(first->door, "POST /cache-nodes/disable?target=s0")) == "HTTP/1.1 200");
+    load clients(first->port);
+    clients.wait_for(50);
+    for (int version = 0; version < 2; ++version) { // a second upgrade right after the first
+        auto next = std::make_unique<running>(with, "next" + std::to_string(version) + ".json");
+        while (status_of(call_door(next->door, "GET /ready")) != "HTTP/1.1 200")
+            std::this_thread::yield();
+        first->proxy.wait_for("succeeded");
+        // A call to one process binds both.
+        CHECK(status_of(call_door(next->door, "POST /cache-nodes/disable?target=s1")) == "HTTP/1.1 200");
+        CHECK(figure(first->door, "app_cluster_unhealthy") == 2);
+        CHECK(status_of(call_door(first->door, "POST /cache-nodes/enable?target=s1")) == "HTTP/1.1 200");
+        CHECK(figure(next->door, "app_cluster_unhealthy") == 1);
+        first->ends();
+        clients.wait_for(50);
+        first = std::move(next);
+    }
+    clients.finish();
+    CHECK(clients.bad == 0);
+    CHECK(with.servers[0].count() == 0); // out since before the first upgrade
+    first->ends();
+}
+
+// Guards the proxy that serves against a successor that does not get so far, and against a file left behind.
+TEST_CASE("a successor that dies") {
+    const own_directory own;
+    stand with({.port = free_port(), .control = true, .starts = false});
+    running first(with, "stays.json");
+    load clients(first.port);
+    {
+        running next(with, "dies.json");
+        first.proxy.wait_for("succeeded");
+        clients.wait_for(20);
+        next.proxy.signal(SIGKILL);
+        CHECK(next.proxy.status() == -1);
+    }
+    clients.wait_for(50); // the first serves again
+    clients.finish();
+    CHECK(clients.bad <= 4); // what the killed one had in hand
+    first.proxy.signal(SIGKILL);
+    CHECK(first.proxy.status() == -1);
+    running anew(with, "anew.json"); // over the killed ones' files
+    CHECK(told(toy_client(anew.port).ask(asks("read", "1"))) == "HTTP/1.1 200 [value]");
+    anew.ends();
+}
+
+TEST_CASE("messages between two processes") {
+    const std::vector<news> all = {
+        {news::kind::out, "s 1:2\n"}, {news::kind::away, "1"}, {news::kind::ready, ""}};
+    const auto back = read_message(to_message(all));
+    REQUIRE(back.size() == 3);
+    CHECK(back[0].text == "s 1:2\n");
+    CHECK(back[2].what == news::kind::ready);
+    for (const char *bad : {"x1:a", "o2:a", "o", "o-1:", "o9999999999999999999:", "1:a"})
+        CHECK_THROWS_AS(read_message(bad), bad_text);
+}
+
 } // namespace harrierpass::proxy
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -618,34 +618,6 @@
     CHECK(with.servers[0].count() == before);
 }
 
-// The program itself, started with a stand's configuration in a file that it may be told to read again.
-struct running {
-    running(stand &with, const std::string &file)
-        : path(std::filesystem::temp_directory_path() /
-               ("harrierpass-" + std::to_string(::getpid()) + "-" + file)),
-          proxy(HARRIERPASS_PROGRAM, write(with.config)) {
-        proxy.wait_for("started ");
-        port = std::stoi(proxy.after("listen=127.0.0.1:"));
-        with.discovery.wait_for(2); // the list is told and watched
-    }
-    ~running() { std::remove(path.c_str()); }
-    const std::string &write(const std::string &text) const {
-        std::ofstream(path) << text;
-        return path;
-    }
-    void reload(const std::string &text) {
-        write(text);
-        proxy.signal(SIGHUP);
-    }
-    void ends() {
-        proxy.signal(SIGTERM);
-        CHECK(proxy.status() == 0);
-    }
-    std::string path;
-    test::program proxy;
-    int port = 0;
-};
-
 // Guards a proxy in service against a new file: it stays, with what it has in hand, and follows the discovery
 // that the file names; a file that is no good changes nothing.
 TEST_CASE("SIGHUP: discovery is at another address") {
--- a/tests/stand.hpp
+++ b/tests/stand.hpp
@@ -4,10 +4,12 @@
 
 #include "helpers.hpp"
 
+#include "base/text.hpp"
 #include "proxy/service.hpp"
 
 #include <atomic>
 #include <doctest/doctest.h>
+#include <filesystem>
 
 namespace harrierpass::proxy {
 using test::ok;
@@ -17,6 +19,7 @@
 struct stand_options {
     std::vector<std::string> replies = {}; // in order, whichever server is asked; then 200 "value"
     int sockets = 256;
+    int port = 0;         // the proxy's; 0: any that is free
     bool control = false; // the operators' door, at a port of its own
     std::string family = "{}";
     bool silent = false; // discovery, while the proxy knows the list
@@ -32,9 +35,10 @@
                    R"(","effect":")" + effect + R"(","sloTimeMs":)" + std::to_string(slo_ms) +
                    R"(,"statementTimeoutMs":)" + std::to_string(given.statement_ms) + "}";
         };
-        config = R"({"name":"p0","listen":"127.0.0.1:0","discovery":")" + discovery.at() +
-                 R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" + std::to_string(given.sockets) +
-                 R"(},"known":)" + (given.silent ? list("active", true) : "null") +
+        config = R"({"name":"p0","listen":"127.0.0.1:)" + std::to_string(given.port) + R"(","discovery":")" +
+                 discovery.at() + R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" +
+                 std::to_string(given.sockets) + R"(},"known":)" +
+                 (given.silent ? list("active", true) : "null") +
                  (given.control ? R"(,"control":"127.0.0.1:0")" : "") +
                  R"(,"settings":{"peersTotal":1,"tickMs":5,"rules":{"drainGraceMs":400},
             "limits":{"maxExecutions":4,"cancel":true,"probes":true,"retryAfter":true,"maxRetryAfterMs":1500,
@@ -108,4 +112,35 @@
     return answer.substr(0, 12) + (head == std::string::npos ? " cut" : " [" + answer.substr(head + 4) + "]");
 }
 
+// The program itself, started with a stand's configuration in a file that it may be told to read again.
+struct running {
+    running(stand &with, const std::string &file)
+        : path(std::filesystem::temp_directory_path() /
+               ("harrierpass-" + std::to_string(::getpid()) + "-" + file)),
+          proxy(HARRIERPASS_PROGRAM, write(with.config)) {
+        proxy.wait_for("started ");
+        port = std::stoi(proxy.after("listen=127.0.0.1:"));
+        if (const std::string at = proxy.after("control=127.0.0.1:");
+            !at.empty() && at[0] >= '0' && at[0] <= '9')
+            door = std::stoi(at);
+        with.discovery.wait_for(2); // the list is told and watched
+    }
+    ~running() { std::remove(path.c_str()); }
+    const std::string &write(const std::string &text) const {
+        std::ofstream(path) << text;
+        return path;
+    }
+    void reload(const std::string &text) {
+        write(text);
+        proxy.signal(SIGHUP);
+    }
+    void ends() {
+        proxy.signal(SIGTERM);
+        CHECK(proxy.status() == 0);
+    }
+    std::string path;
+    test::program proxy;
+    int port = 0, door = 0;
+};
+
 } // namespace harrierpass::proxy
