--- a/src/lab/deciders.cpp
+++ b/src/lab/deciders.cpp
@@ -91,7 +91,7 @@
             return finish(id);
         place(now, id);
     }
-    void begun(double, index) override {}
+    void begun(double, index, bool) override {}
     void left(double, index id) override {
         queries_[id].answered = true;
         if (!queries_[id].out)
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <utility>
 
 namespace harrierpass {
 namespace {
@@ -11,8 +12,8 @@
 using std::string_view;
 
 constexpr std::size_t most_fields = 64;    // fields; the protocol's heads have about ten
-constexpr std::size_t line_limit = 80;     // bytes of a chunk's size line
-constexpr std::size_t waste_limit = 65536; // bytes of chunk lines and trailers; as much as a body
+constexpr std::size_t line_limit = 1024;   // bytes of a chunk's size line, with its extensions
+constexpr std::size_t waste_limit = 65536; // bytes of trailers
 
 bool is_token(string_view text) {
     return !text.empty() && std::all_of(text.begin(), text.end(), [](char one) {
@@ -94,17 +95,19 @@
                 return now;
             break;
         case stage::counted: {
-            if (filled_ - taken_ < left_)
-                return state::more;
-            body_size_ = left_;
-            taken_ += left_;
+            const std::size_t here = std::min(left_, filled_ - taken_);
+            body_size_ += here;
+            taken_ += here;
+            left_ -= here;
+            if (left_ > 0)
+                return wait_for_more();
             at_ = stage::done;
             break;
         }
         case stage::to_end:
             taken_ = filled_;
             body_size_ = taken_ - body_from_;
-            return room().empty() ? state::too_large : state::more;
+            return most_ > 0 && beyond(0) ? state::too_large : wait_for_more();
         case stage::done:
             return state::whole;
         default:
@@ -114,6 +117,27 @@
     }
 }
 
+http_reader::state http_reader::wait_for_more() const {
+    return !room().empty() ? state::more : most_ > 0 && body_size_ > 0 ? state::full : state::too_large;
+}
+
+bool http_reader::beyond(std::size_t size) const {
+    const std::size_t there = released_ + body_size_;
+    return most_ > 0 ? size > most_ || there > most_ - size : size > buffer_.size() - body_from_ - body_size_;
+}
+
+void http_reader::release() {
+    std::memmove(buffer_.data() + body_from_, buffer_.data() + taken_, filled_ - taken_);
+    filled_ -= taken_ - body_from_;
+    taken_ = body_from_;
+    released_ += std::exchange(body_size_, 0);
+}
+
+std::optional<std::size_t> http_reader::length() const {
+    const bool told = at_ != stage::head && head_.count("Content-Length") > 0;
+    return told ? std::optional(total_) : std::nullopt;
+}
+
 http_reader::state http_reader::ended() {
     if (at_ != stage::to_end)
         return state::cut;
@@ -125,6 +149,13 @@
     for (;;) {
         const string_view text(buffer_.data() + taken_, filled_ - taken_);
         const auto end = text.substr(0, head_limit).find("\r\n\r\n");
+        // An empty line ahead of a request is skipped: some clients send one behind a body.
+        if (side_ == side::request && text.starts_with("\r\n")) {
+            taken_ += 2;
+            continue;
+        }
+        if (side_ == side::request && text == "\r")
+            return state::more;
         // Guards against waiting for the end of what can never be a head.
         if (!may_begin(text))
             return state::malformed;
@@ -199,6 +230,14 @@
     if (last == space || !version(line.substr(last + 1)) || !is_token(head_.method))
         return false;
     head_.target = line.substr(space + 1, last - space - 1);
+    // The absolute form, which names the host again.
+    static constexpr string_view scheme = "http://";
+    if (same_name(head_.target.substr(0, scheme.size()), scheme)) {
+        const auto path = head_.target.find('/', scheme.size());
+        head_.target = path == string_view::npos ? string_view("/") : head_.target.substr(path);
+    }
+    if (head_.target.empty())
+        return false;
     return head_.target.front() == '/' && std::all_of(head_.target.begin(), head_.target.end(),
                                                       [](char one) { return one > 0x20 && one < 0x7F; });
 }
@@ -220,11 +259,12 @@
     }
     if (lengths + codings > 1 || (codings > 0 && head_.minor == 0))
         return state::malformed;
-    if (left_ > buffer_.size() - body_from_)
-        return state::too_large;
-    const bool bare = side_ == side::answer && (head_.status == 204 || head_.status == 304);
+    total_ = left_;
+    const bool bare = side_ == side::answer && (bodiless_ || head_.status == 204 || head_.status == 304);
     if (bare)
         left_ = 0;
+    if (beyond(left_))
+        return state::too_large;
     at_ = codings > 0 && !bare                            ? stage::chunk_size
           : lengths > 0 || bare || side_ == side::request ? stage::counted
                                                           : stage::to_end;
@@ -239,7 +279,7 @@
         return false;
     line = text.substr(0, end);
     taken_ += end + 2;
-    trailer_ += end + 2;
+    trailer_ += at_ == stage::trailer ? end + 2 : 0;
     return true;
 }
 
@@ -268,10 +308,10 @@
             at_ = stage::chunk_size;
         } else if (at_ == stage::chunk_size) {
             const string_view size = trim(line.substr(0, line.find(';')));
-            if (line.size() > line_limit || size.size() > 8 || !is_value(line) ||
+            if (line.size() > line_limit || size.size() > 15 || !is_value(line) ||
                 !read_number(size, left_, 16))
                 return state::malformed;
-            if (left_ > buffer_.size() - body_from_ - body_size_)
+            if (beyond(left_))
                 return state::too_large;
             at_ = left_ > 0 ? stage::chunk : stage::trailer;
         } else if (line.empty()) { // the end of the trailer, which nobody here needs
@@ -284,7 +324,7 @@
     std::memmove(buffer_.data() + end, buffer_.data() + taken_, unread);
     taken_ = end;
     filled_ = end + unread;
-    return room().empty() ? state::too_large : state::more;
+    return wait_for_more();
 }
 
 bool is_hop_field(const http_head &of, string_view name) {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -5,6 +5,7 @@
 #include "net/buffers.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,11 +29,12 @@
 };
 
 // Takes one message out of a connection's bytes, in a buffer that it is given. A chunked body is laid
-// together in place.
+// together in place. A message that is let through may be longer than the buffer, which is a window on it
+// then: once it is full, what is there is to be used and released.
 class http_reader {
 public:
     enum class side : std::uint8_t { request, answer };
-    enum class state : std::uint8_t { more, whole, malformed, too_large, cut }; // cut: it ended before
+    enum class state : std::uint8_t { more, whole, malformed, too_large, cut, full }; // cut: it ended before
 
     // `filled` bytes of the buffer are there already.
     http_reader(std::span<char> buffer, side which, std::size_t filled = 0);
@@ -40,7 +42,12 @@
     std::span<char> room() const { return buffer_.subspan(filled_); } // where the next bytes go; may be empty
     state took(std::size_t count);                                    // so many were put there
     state look() { return took(0); }
-    state ended(); // the other side closes: whole only if the close marks the end
+    void let_through(std::size_t most) { most_ = most; } // a body of up to so many bytes
+    void without_body() { bodiless_ = true; }            // an answer to HEAD
+    void release(); // the body's bytes that are there have been used; their room is free
+    std::size_t released() const { return released_; }
+    std::optional<std::size_t> length() const; // of the body, where the head tells
+    state ended();                             // the other side closes: whole only if the close marks the end
 
     const http_head &head() const { return head_; }
     bool begun() const { return at_ != stage::head || filled_ > taken_; } // some of it is there
@@ -56,6 +63,8 @@
     bool parse_first(std::string_view line);
     state frame();
     state read_chunks();
+    state wait_for_more() const;         // more, or what a full buffer means
+    bool beyond(std::size_t size) const; // more of the body than may be
     bool next_line(std::string_view &line);
 
     std::span<char> buffer_;
@@ -63,8 +72,11 @@
     stage at_ = stage::head;
     http_head head_;
     std::size_t filled_;
-    std::size_t taken_ = 0; // bytes that belong to what has been read of the message
-    std::size_t body_from_ = 0, body_size_ = 0;
+    std::size_t taken_ = 0;                     // bytes that belong to what has been read of the message
+    std::size_t body_from_ = 0, body_size_ = 0; // what is there of it
+    std::size_t released_ = 0, total_ = 0;      // bytes of the body: released, told by the head
+    std::size_t most_ = 0;                      // bytes of a body that is let through; 0: it is held whole
+    bool bodiless_ = false;
     std::size_t left_ = 0;    // of a counted body or the present chunk
     std::size_t trailer_ = 0; // bytes of chunk lines and trailers read
 };
--- a/src/proxy/desk.cpp
+++ b/src/proxy/desk.cpp
@@ -133,6 +133,20 @@
     });
 }
 
+void desk::begun(ticket &of, bool fetched) {
+    tell([&](double now) {
+        if (of.query_ != none)
+            router_->begun(now, of.query_, fetched);
+    });
+}
+
+void desk::written(ticket &of, double statement_end) {
+    tell([&](double now) {
+        if (of.query_ != none)
+            router_->written(now, of.query_, statement_end);
+    });
+}
+
 void desk::left(ticket &of) {
     tell([&](double now) {
         if (of.query_ != none)
--- a/src/proxy/desk.hpp
+++ b/src/proxy/desk.hpp
@@ -56,7 +56,9 @@
     bool arrived(ticket &of, new_query from, const std::shared_ptr<const configuration> &by);
     orders look(ticket &of); // a send is handed out once, and is running from then on
     void ended(ticket &of, outcome result, bool fetched);
-    void dropped(ticket &of, outcome result); // as ended(), and the query has had its final answer
+    void dropped(ticket &of, outcome result);       // as ended(), and the query has had its final answer
+    void begun(ticket &of, bool fetched);           // the answer goes on to the client as it comes
+    void written(ticket &of, double statement_end); // a long body is out; the client's time starts
     void left(ticket &of);
     bool finished(ticket &of);
 
--- a/src/proxy/messages.cpp
+++ b/src/proxy/messages.cpp
@@ -54,7 +54,7 @@
     return to;
 }
 
-std::string forwarded(const http_reader &asked, double left) {
+std::string forwarded(const http_reader &asked, double left, bool whole) {
     const auto &head = asked.head();
     std::string to;
     to.reserve(512);
@@ -64,8 +64,10 @@
             put_field(to, each.name, each.value);
     to += "X-Deadline: ";
     append_number(to, std::max(1.0, left * 1000), "%.0fm\r\n");
-    if (head.method == "PUT" || !asked.body().empty())
-        put_field(to, "Content-Length", std::to_string(asked.body().size()));
+    if (!whole)
+        to += asked.length() ? length_field(*asked.length()) : std::string(chunked_field);
+    else if (head.method == "PUT" || !asked.body().empty())
+        to += length_field(asked.body().size());
     return to += "\r\n";
 }
 
@@ -100,7 +102,17 @@
     return field;
 }
 
+std::string length_field(std::size_t size) {
+    std::string field;
+    put_field(field, "Content-Length", std::to_string(size));
+    return field;
+}
+
 std::string answer_head(int status, string_view fields, std::size_t size, bool keeps) {
+    return answer_head(status, fields, length_field(size), keeps);
+}
+
+std::string answer_head(int status, string_view fields, string_view framing, bool keeps) {
     static constexpr std::array<std::pair<int, string_view>, 10> names = {{{200, "OK"},
                                                                            {400, "Bad Request"},
                                                                            {404, "Not Found"},
@@ -115,7 +127,7 @@
         std::find_if(names.begin(), names.end(), [&](const auto &each) { return each.first == status; });
     std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
     head.append(name->second).append("\r\n").append(fields);
-    put_field(head, "Content-Length", std::to_string(size));
+    head += framing;
     if (!keeps)
         put_field(head, "Connection", "close");
     return head += "\r\n";
--- a/src/proxy/messages.hpp
+++ b/src/proxy/messages.hpp
@@ -17,8 +17,8 @@
 understood understand(const http_head &asked, const configuration &given);
 
 // The query as it goes to a server: the protocol's fields unchanged, those of the hop written anew. `left`: s
-// that we will wait.
-std::string forwarded(const http_reader &asked, double left);
+// that we will wait. Not whole: its body is long and comes as its client framed it.
+std::string forwarded(const http_reader &asked, double left, bool whole = true);
 
 // What a server's whole answer says of its execution. `aside`: servers do not fetch what they lack but say
 // so, and the router turns to the origin.
@@ -29,7 +29,11 @@
 std::string passed_on(const http_head &answer);
 // "Retry-After" where there is something to say; empty: nothing.
 std::string come_back_in(double seconds);
-// The head of an answer of ours, with the fields given.
+// How the end of a body is told: its length, or that it comes in chunks.
+std::string length_field(std::size_t size);
+inline constexpr std::string_view chunked_field = "Transfer-Encoding: chunked\r\n";
+// The head of an answer of ours, with the fields given, the one of its framing among them.
+std::string answer_head(int status, std::string_view fields, std::string_view framing, bool keeps);
 std::string answer_head(int status, std::string_view fields, std::size_t size, bool keeps);
 
 } // namespace harrierpass::proxy
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -3,6 +3,7 @@
 
 #include "net/exchange.hpp"
 #include "proxy/messages.hpp"
+#include "proxy/relay.hpp"
 
 #include <algorithm>
 #include <array>
@@ -14,9 +15,20 @@
 
 using std::string_view;
 
-constexpr double read_limit = 2;    // s from a query's first byte to its last; guards against idle senders
-constexpr double first_limit = 2.3; // s from a connection's start to the end of its first query
-constexpr double write_limit = 5;   // s to take an answer; no client waits longer for one
+constexpr double head_time = 2.3;   // s from a query's first byte to its head's last; clients may take 2 s
+constexpr double first_limit = 2.9; // s from a connection's start to the end of its first head
+constexpr double body_wait = 2;     // s that a body may take ...
+constexpr double body_rate = 32768; // ... beyond so many bytes a second; clients send 64 kB at least
+constexpr double write_limit = 5;   // s to take an answer that was held whole
+constexpr std::size_t longest_body = 64UL * 1024 * 1024; // bytes; twice what occurs
+constexpr double upload_limit = 2100;                    // s that the longest body takes at that rate
+constexpr std::size_t early_size =
+    16384;                         // bytes of an answer of unknown length, from which on it is long ...
+constexpr double early_time = 0.1; // ... or s since its head came, if it goes on
+constexpr double source_pause =
+    15;                           // s that a server may pause in a long answer; it may swap, or look for more
+constexpr double sink_pause = 30; // s that a side may take for a window of a long body
+constexpr double upload_linger = 2; // s in which a client may read why its long body was turned off
 constexpr double own_margin = 0.01; // s after the client's end; the router gives its final answer before
 constexpr double stall_share =
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
@@ -30,6 +42,7 @@
     outcome result;
     const char *reason = nullptr; // why its connection ended; null: it is kept
     bool given_up = false;        // the query had its final answer before
+    bool passed_on = false;       // the answer, or its beginning, is the client's already
 };
 
 class life {
@@ -49,13 +62,28 @@
     const char *read(http_reader &asked);
     const char *refuse_text(int status, const char *reason);
     const char *refuse(int status, string_view fields, string_view why);
-    execution_end execute(const orders &now, const http_reader &asked, http_reader &answer);
+    execution_end execute(const orders &now, http_reader &asked, http_reader &answer);
+    execution_end upload(const tcp_socket &to, http_reader &asked);
+    bool is_long(const http_reader &answer, http_reader::state state, double head_at) const;
+    execution_end pass_on(const tcp_socket &from, http_reader &answer);
+    void linger(double limit, int reads);
     const char *answer(int status, string_view fields, string_view body);
+    const char *answer_framed(int status, string_view fields, string_view framing, string_view body);
     // The final answer. Counted before it is written: whoever has the answer finds it counted.
     const char *final_answer(verdict how, int status, string_view fields = {}, string_view body = {}) {
+        take_count();
         shown_.ended(use_case_, how);
         return answer(status, fields, body);
     }
+    // It counts as taken once it is there; one with a long body when that has passed, or when it ends before.
+    void take_count() {
+        if (!std::exchange(counted_, true))
+            shown_ = with_.shown.taken();
+    }
+    bool may_keep() const {
+        return keeps_ && !from_.last && !with_.ending() && !with_.away() && !with_.handed_over &&
+               (!uploads_ || body_came_);
+    }
     double stop_by() const { return with_.drain_at.load() + with_.last_answer; }
     double patience() const { return std::min(statement_end_, stop_by()); }
 
@@ -68,7 +96,13 @@
     std::string use_case_;      // its name
     buffer_pool::lease buffer_; // the query's
     bool arrived_ = false;
-    bool keeps_ = true; // the client's connection, after this query
+    bool counted_ = false;
+    bool head_only_ = false; // the query is a HEAD
+    int client_minor_ = 1;   // of its HTTP version
+    bool body_came_ = false; // whole, where it is long
+    bool uploads_ = false;   // its body is long: it goes to the server while it comes
+    double patience_ = 0;    // s that the client waits from the query's last byte on
+    bool keeps_ = true;      // the client's connection, after this query
     double statement_end_ = 0;
     double stall_limit_ = 0; // s in which an answer that has begun must go on
 };
@@ -82,8 +116,12 @@
     if (const char *why = read(asked))
         return why;
     keeps_ = asked.head().keeps_alive();
+    head_only_ = asked.head().method == "HEAD";
+    client_minor_ = asked.head().minor;
     // Bytes of a next query, which come before this one's answer only from a client that does not wait.
     const auto done = [&](const char *why) {
+        if (uploads_ && !body_came_ && why != nullptr && from_.socket)
+            linger(upload_linger, static_cast<int>(longest_body / buffer_size));
         if (why == nullptr && !asked.rest().empty()) {
             from_.filled = asked.rest().size();
             std::memmove(buffer_.get(), asked.rest().data(), from_.filled);
@@ -95,17 +133,19 @@
     if (asked.head().target == "/_health")
         return done(answer(
             with_.ready() && (!with_.draining() || with_.handed_over) && !with_.away() ? 200 : 503, {}, {}));
-    if (asked.head().method != "GET" && asked.head().method != "PUT")
-        return done(refuse(405, "Allow: GET, PUT\r\n", "a query is a GET or a PUT\n"));
+    if (asked.head().method != "GET" && asked.head().method != "PUT" && !head_only_)
+        return done(refuse(405, "Allow: GET, HEAD, PUT\r\n", "a query is a GET, a HEAD or a PUT\n"));
     given_ = desk.given();
     auto wanted = understand(asked.head(), *given_);
     if (wanted.fault != nullptr)
         return done(refuse(400, {}, wanted.fault));
     const double came = desk.now();
-    shown_ = with_.shown.taken();
+    if (!uploads_)
+        take_count();
     use_case_ = given_->use_cases[wanted.made.use_case];
     // Guards "no effect twice" and whoever asked first: two with one id cannot be told apart at the servers.
     if (!(id_ = with_.ids.take(std::string(asked.head().value("X-Request-Id"))))) {
+        take_count();
         shown_.ended(use_case_, verdict::errored);
         return done(refuse(409, {}, "a query with this X-Request-Id is open\n"));
     }
@@ -116,7 +156,10 @@
         return done(final_answer(verdict::deferred, 503, come_back_in(given_->decisions.allow.max_advice)));
     }
     const auto bounded = [&] {
-        wanted.made.statement_end = statement_end_ = std::min(came + wanted.patience, stop_by());
+        patience_ = wanted.patience;
+        wanted.made.uploading = uploads_;
+        wanted.made.statement_end = statement_end_ =
+            std::min(came + wanted.patience + (uploads_ ? upload_limit : 0), stop_by());
         stall_limit_ = given_->decisions.use_cases[wanted.made.use_case].slo_time * stall_share;
     };
 
@@ -164,8 +207,18 @@
         if (!space)
             space = with_.buffers.take();
         http_reader answered(whole(space), http_reader::side::answer);
+        answered.let_through(longest_body);
+        if (head_only_)
+            answered.without_body();
         const execution_end end = execute(now, asked, answered);
         const auto &head = answered.head();
+        if (end.passed_on) { // the client has it, or its beginning, and what is missing shows
+            desk.dropped(ticket_, end.result);
+            const bool whole = end.result == outcome::completed;
+            shown_.ended(use_case_, whole ? verdict::answered : verdict::errored);
+            count.add(whole ? count::completed : count::aborted);
+            return done(!whole || !from_.socket ? "answer_cut" : keeps_ ? nullptr : "answered_last");
+        }
         if (end.given_up) {
             desk.dropped(ticket_, end.result);
         } else {
@@ -175,17 +228,37 @@
         gone = gone || !from_.socket;
         if (gone && desk.finished(ticket_))
             return "client_left";
+        // What is gone of a long body can't be sent again: the query ends here, harmlessly if it never ran.
+        if (uploads_ && end.result != outcome::completed && asked.released() > 0) {
+            if (!desk.finished(ticket_)) {
+                desk.left(ticket_);
+                if (!desk.finished(ticket_))
+                    desk.dropped(ticket_, outcome::canceled);
+            }
+            if (gone)
+                return "client_left";
+            const bool harmless = !counted_ || never_ran(end.result);
+            count.add(harmless ? count::rejected : count::aborted);
+            return done(harmless ? final_answer(verdict::deferred, 503,
+                                                come_back_in(given_->decisions.allow.max_advice))
+                                 : final_answer(verdict::errored, 502));
+        }
         if (end.result == outcome::completed) {
             count.add(count::completed);
-            return done(final_answer(verdict::answered, 200, passed_on(head), answered.body()));
+            if (!head_only_)
+                return done(final_answer(verdict::answered, 200, passed_on(head), answered.body()));
+            shown_.ended(use_case_, verdict::answered);
+            return done(answer_framed(200, passed_on(head),
+                                      answered.length() ? length_field(*answered.length()) : "", {}));
         }
     }
 }
 
 const char *life::read(http_reader &asked) {
     const double now = with_.decides.now();
-    const double end =
-        from_.queries > 1 ? now + read_limit : std::min(now + read_limit, from_.since + first_limit);
+    double end = from_.queries > 1 ? now + head_time : std::min(now + head_time, from_.since + first_limit);
+    double head_at = 0;
+    asked.let_through(longest_body);
     auto state = asked.look();
     bool expects = true;
     while (state == http_reader::state::more) {
@@ -200,6 +273,10 @@
             return "client_reset";
         if (got > 0) {
             state = asked.took(static_cast<std::size_t>(got));
+            if (asked.has_head()) {
+                head_at = head_at > 0 ? head_at : with_.decides.now();
+                end = head_at + body_wait + static_cast<double>(asked.body().size()) / body_rate;
+            }
             continue;
         }
         pollfd in{from_.socket.get(), POLLIN, 0};
@@ -208,7 +285,8 @@
             return refuse_text(408, "client_slow");
         wait_on({&in, 1}, left);
     }
-    if (state == http_reader::state::whole)
+    uploads_ = state == http_reader::state::full;
+    if (state == http_reader::state::whole || uploads_)
         return nullptr;
     return refuse_text(state == http_reader::state::too_large ? 413 : 400, "bad_request");
 }
@@ -219,13 +297,17 @@
     with_.count.add(count::bad_requests);
     keeps_ = false;
     answer(status, {}, {});
+    linger(linger_limit, linger_reads);
+    return reason;
+}
+
+void life::linger(double limit, int reads) {
     ::shutdown(from_.socket.get(), SHUT_WR);
-    const double end = with_.decides.now() + linger_limit;
+    const double end = with_.decides.now() + limit;
     pollfd in{from_.socket.get(), POLLIN, 0};
-    for (int reads = 0; reads < linger_reads && wait_on({&in, 1}, end - with_.decides.now()) > 0; ++reads)
+    for (; reads > 0 && wait_on({&in, 1}, end - with_.decides.now()) > 0; --reads)
         if (read_some(from_.socket, buffer_.get(), buffer_size) <= 0)
             break;
-    return reason;
 }
 
 // For what can be read and is no query: the connection may go on, if it does not bring many of them.
@@ -244,7 +326,7 @@
 
 // One execution at the server the router chose. Whatever fails before the query's last byte is written
 // never ran; after that it may have.
-execution_end life::execute(const orders &now, const http_reader &asked, http_reader &answer) {
+execution_end life::execute(const orders &now, http_reader &asked, http_reader &answer) {
     static constexpr std::array<count, 9> kinds = {
         count::ended_completed, count::ended_error,         count::ended_queue_full,
         count::ended_timed_out, count::ended_connect_error, count::ended_reset,
@@ -255,22 +337,26 @@
     if (to.socket) {
         with_.count.add(count::sent);
         ++to.executions;
-        const std::string head = forwarded(asked, statement_end_ - desk.now());
+        const double left = uploads_ ? patience_ : statement_end_ - desk.now();
+        const std::string head = forwarded(asked, left, !uploads_);
+        const string_view body = uploads_ ? string_view{} : asked.body();
         long wrote = 0;
-        if (!with_.servers.unless_out(now.server, [&] { wrote = write_some(to.socket, head, asked.body()); }))
+        if (!with_.servers.unless_out(now.server, [&] { wrote = write_some(to.socket, head, body); })) {
             come = {outcome::ignored, "out"};
-        else if (wrote < 0 ||
-                 !write_all(to.socket, string_view(head).substr(of_head(wrote, head)),
-                            asked.body().substr(static_cast<std::size_t>(wrote) - of_head(wrote, head)),
-                            patience() - desk.now()))
+        } else if (wrote < 0 ||
+                   !write_all(to.socket, string_view(head).substr(of_head(wrote, head)),
+                              body.substr(static_cast<std::size_t>(wrote) - of_head(wrote, head)),
+                              patience() - desk.now())) {
             come.reason = "write_failed";
-        else {
+        } else if (uploads_) {
+            come = upload(to.socket, asked);
+        } else {
             come = {outcome::timed_out, "timed_out"};
             with_.shown.sent();
         }
     }
     auto state = come.result == outcome::timed_out ? http_reader::state::more : http_reader::state::cut;
-    double heard = desk.now();
+    double heard = desk.now(), head_at = 0;
     while (state == http_reader::state::more) {
         // Looked at before each wait: a call may have ended a wait of the writing, too.
         const orders next = desk.look(ticket_);
@@ -301,10 +387,18 @@
             continue;
         state = read_into(answer, to.socket);
         heard = desk.now();
+        if (head_at == 0 && answer.has_head())
+            head_at = heard;
+        if (is_long(answer, state, head_at)) {
+            come = pass_on(to.socket, answer);
+            break;
+        }
         if (state == http_reader::state::whole)
             come = {outcome_of(answer.head(), desk.given()->decisions.origin_kind != none), nullptr};
         else if (state == http_reader::state::cut)
             come = {outcome::reset, "reset"};
+        else if (state == http_reader::state::full) // an error's text, or nobody's: it needs no more
+            come = {outcome_of(answer.head(), false), "long"};
         else if (state != http_reader::state::more) { // guards the server's good name: it did answer
             come = {outcome::error, "spoilt"};
             with_.count.add(count::ended_spoilt);
@@ -328,11 +422,98 @@
     return come;
 }
 
+// A long body, to the server as it comes. Until its last byte is out nothing has run.
+execution_end life::upload(const tcp_socket &to, http_reader &asked) {
+    auto &desk = with_.decides;
+    bool given_up = false;
+    const auto called = [&] {
+        const orders next = desk.look(ticket_);
+        given_up = next.what != orders::kind::running;
+        return next.call_off || given_up || desk.now() >= stop_by();
+    };
+    switch (relay_body(
+        asked, from_.socket, to, asked.length() ? framing::counted : framing::chunked,
+        {.source = body_wait,
+         .source_rate = body_rate,
+         .sink = sink_pause,
+         .until = stop_by(),
+         .watches_sink = true},
+        [&] { return desk.now(); }, called)) {
+    case relay_end::whole:
+        with_.shown.sent();
+        body_came_ = true;
+        take_count();
+        statement_end_ = std::min(desk.now() + patience_, stop_by());
+        desk.written(ticket_, statement_end_);
+        return {outcome::timed_out, "timed_out"};
+    case relay_end::sink_spoke: // it is turned away before its end, as a rule
+        return {outcome::timed_out, "timed_out"};
+    case relay_end::sink_broke:
+        return {outcome::connect_error, "write_failed"};
+    case relay_end::called:
+        return {outcome::canceled, "called_off", given_up};
+    case relay_end::source_cut:
+    case relay_end::source_slow:
+    case relay_end::source_spoilt: // the client's fault
+        break;
+    }
+    return {outcome::ignored, "client_cut"};
+}
+
+// Whether an answer goes on to the client as it comes, instead of being held whole.
+bool life::is_long(const http_reader &answer, http_reader::state state, double head_at) const {
+    if ((state != http_reader::state::more && state != http_reader::state::full) || !answer.has_head() ||
+        answer.head().status != 200 || !from_.socket)
+        return false;
+    if (answer.length())
+        return state == http_reader::state::full || *answer.length() > body_limit;
+    return state == http_reader::state::full || answer.body().size() >= early_size ||
+           (!answer.body().empty() && with_.decides.now() > head_at + early_time);
+}
+
+execution_end life::pass_on(const tcp_socket &from, http_reader &answer) {
+    auto &desk = with_.decides;
+    desk.begun(ticket_, was_fetched(answer.head()));
+    const bool old_client = client_minor_ == 0;
+    const auto how = answer.length() ? framing::counted : old_client ? framing::by_close : framing::chunked;
+    keeps_ = may_keep() && how != framing::by_close;
+    const std::string head = answer_head(200, passed_on(answer.head()),
+                                         how == framing::counted   ? length_field(*answer.length())
+                                         : how == framing::chunked ? std::string(chunked_field)
+                                                                   : std::string(),
+                                         keeps_);
+    const auto end = write_all(from_.socket, head, {}, sink_pause)
+                         ? relay_body(
+                               answer, from, from_.socket, how, {.source = source_pause, .sink = sink_pause},
+                               [&] { return desk.now(); }, [] { return false; })
+                         : relay_end::sink_broke;
+    if (end == relay_end::whole) {
+        id_ = {};
+        return {outcome::completed, nullptr, false, true};
+    }
+    keeps_ = false;
+    // Guards a client that could take what came for all of it.
+    if (how == framing::by_close && end != relay_end::sink_broke) {
+        const struct ::linger at_once{1, 0};
+        setsockopt(from_.socket.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+    }
+    if (end == relay_end::sink_broke) { // the client's end; the server did what it should
+        with_.count.add(count::answers_cut);
+        from_.socket.close();
+        return {outcome::completed, "client_left", false, true};
+    }
+    return {outcome::reset, end == relay_end::source_slow ? "stalled" : "reset", false, true};
+}
+
 const char *life::answer(int status, string_view fields, string_view body) {
-    keeps_ = keeps_ && !from_.last && !with_.ending() && !with_.away() && !with_.handed_over;
+    return answer_framed(status, fields, length_field(body.size()), body);
+}
+
+const char *life::answer_framed(int status, string_view fields, string_view framing, string_view body) {
+    keeps_ = may_keep();
     id_ = {}; // guards a client that uses it again as soon as it has the answer
-    const std::string head = answer_head(status, fields, body.size(), keeps_);
-    if (!write_all(from_.socket, head, body, write_limit)) {
+    const std::string head = answer_head(status, fields, framing, keeps_);
+    if (!write_all(from_.socket, head, head_only_ ? string_view{} : body, write_limit)) {
         with_.count.add(count::answers_cut);
         return "answer_cut";
     }
--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -19,6 +19,7 @@
     double sent;
     bool open = true;
     outcome result = outcome::canceled;
+    bool counted = false; // in flight; not while a long body goes there or a long answer comes back
 };
 
 enum class stage : std::uint8_t { held, running, over };
@@ -43,7 +44,7 @@
 struct query {
     bool live = false; // until the front may use its index again
     stage at = stage::over;
-    bool write = false, excess = false, to_origin = false, leads = false, follows = false;
+    bool write = false, uploading = false, excess = false, to_origin = false, leads = false, follows = false;
     index generation = 0;
     use_case use; // as the settings had it when the query came
     std::uint64_t key = 0, hash = 0;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -310,16 +310,22 @@
 
     void send(index id, index to) {
         auto &qry = queries_[id];
-        auto &srv = servers_[to];
         std::erase(held_, id);
-        took(srv);
-        ++srv.in_flight;
-        total_in_flight_ += to != origin_;
         ++qry.open;
         qry.executions.push_back({to, now_});
+        count_in(qry.executions.back(), !qry.uploading);
         actions.push_back({action_kind::send, id, to, 0, 0});
     }
 
+    // Guards a server's good name and its limit against the time of a long body or answer, its client's.
+    void count_in(execution &run, bool in) {
+        if (std::exchange(run.counted, in) == in)
+            return;
+        took(servers_[run.server]);
+        servers_[run.server].in_flight += in ? 1 : -1U;
+        total_in_flight_ += run.server == origin_ ? 0 : in ? 1 : -1U;
+    }
+
     input queue(index id) {
         auto &qry = queries_[id];
         if (std::find(held_.begin(), held_.end(), id) == held_.end()) {
@@ -421,6 +427,7 @@
         qry.live = true;
         qry.at = stage::held;
         qry.write = from.write;
+        qry.uploading = from.uploading;
         qry.to_origin = from.write && origin_kind_ != none;
         qry.use = use_cases_[from.use_case];
         qry.has_key = from.has_key;
@@ -461,7 +468,7 @@
         --qry.open;
         took(srv);
         const double elapsed = now - run.sent, share = elapsed / qry.use.slo_time;
-        const bool answered = is_answer(result);
+        const bool answered = is_answer(result), counted = run.counted;
         heard(srv, told);
         if (answered)
             srv.quiet = srv.silent = 0;
@@ -469,7 +476,7 @@
         srv.broke = srv.broke || broken;
         const double worse = broken ? bad_weight : result == outcome::error ? error_weight : 0;
         srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
-        if (result == outcome::completed || result == outcome::miss) {
+        if (counted && (result == outcome::completed || result == outcome::miss)) {
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
             // Guards the use case with the least time: all come to the one origin, and wait for each other.
             learn(srv, run.sent, run.server == origin_ ? elapsed / shortest_ : share, fetched);
@@ -483,8 +490,7 @@
         } else if (result == outcome::timed_out && srv.quiet >= elapsed && share > srv.lim.slow) {
             learn(srv, run.sent, share, false); // guards against a jam whose answers never come to be seen
         }
-        --srv.in_flight;
-        total_in_flight_ -= run.server != origin_;
+        count_in(run, false);
         if (run.server == origin_)
             srv.bad = 0; // there is no other origin to turn to
         else if (srv.at == health::suspect && answered && result != outcome::queue_full)
@@ -498,9 +504,24 @@
         drain();
     }
 
-    void begun(double now, index id) override {
+    void begun(double now, index id, bool fetched) override {
+        now_ = now;
+        auto &qry = queries_[id];
+        auto &run = qry.executions.back();
+        qry.end = std::numeric_limits<double>::infinity();
+        count_in(run, false);
+        servers_[run.server].quiet = servers_[run.server].silent = 0;
+        learn(servers_[run.server], run.sent, (now - run.sent) / qry.use.slo_time, fetched);
+        drain();
+    }
+
+    void written(double now, index id, double statement_end) override {
         now_ = now;
-        queries_[id].end = std::numeric_limits<double>::infinity();
+        auto &qry = queries_[id];
+        qry.end = statement_end - end_margin_;
+        due_.push({qry.end, id, qry.generation});
+        qry.executions.back().sent = now;
+        count_in(qry.executions.back(), true);
     }
 
     bool avoids(index id) const override {
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -18,8 +18,11 @@
     // the origin first.
     virtual void ended(double now, index qry, index execution, outcome result, bool over, bool fetched,
                        const load_report &told = {}) = 0;
-    virtual void begun(double now, index qry) = 0; // its stream has started and is the client's now
-    virtual void left(double now, index qry) = 0;  // the client went; nothing more is owed
+    // Its answer has started and is the client's now; how fast it goes on is no matter of its server's.
+    virtual void begun(double now, index qry, bool fetched = false) = 0;
+    // A query that arrived as `uploading` is written whole: it begins now, and so does its client's time.
+    virtual void written(double, index, double /*statement_end*/) {}
+    virtual void left(double now, index qry) = 0; // the client went; nothing more is owed
     virtual void probed(double now, index server, bool answered, const load_report &told = {}) = 0;
     virtual void woken(double now) = 0;
     // Other settings hold from now on, also for the queries in hand, which keep their use case and end. The
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -76,6 +76,7 @@
     bool write = false;
     std::uint64_t key = 0;
     double statement_end = 0; // when the client gives up
+    bool uploading = false;   // its long body goes to the server while it comes; written() tells its end
 };
 
 enum class outcome : std::uint8_t {
