--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -2,6 +2,8 @@
 // The operators' parts: their door, its figures, servers out by hand, clients sent away.
 #include "stand.hpp"
 
+#include <random>
+
 namespace harrierpass::proxy {
 
 namespace {
@@ -219,7 +221,7 @@
     CHECK(status_of(call_door(first->door, "POST /cache-nodes/disable?target=s0")) == "HTTP/1.1 200");
     load clients(first->port);
     clients.wait_for(50);
-    std::size_t seen = 0; // by the server that is out
+    std::size_t seen = 0;                           // by the server that is out
     for (int version = 0; version < 2; ++version) { // a second upgrade right after the first
         auto next = std::make_unique<running>(with, "next" + std::to_string(version) + ".json");
         while (status_of(call_door(next->door, "GET /ready")) != "HTTP/1.1 200")
@@ -277,4 +279,249 @@
         CHECK_THROWS_AS(read_message(bad), bad_text);
 }
 
+// ---- Size
+
+namespace {
+
+constexpr std::size_t long_size = 32UL * 1024 * 1024; // bytes; the largest that occur
+
+// Resident memory that the process has had at most since its start, kB.
+long peak_memory() {
+    std::ifstream in("/proc/self/status");
+    for (std::string word; in >> word;)
+        if (word == "VmHWM:") {
+            long size = 0;
+            in >> size;
+            return size;
+        }
+    return 0;
+}
+
+// One more server, which writes and reads by hand: its listening socket and what it does with a connection.
+class hand_server {
+public:
+    explicit hand_server(std::function<void(int fd)> what)
+        : what_(std::move(what)), listening_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        auto at = test::loopback(0);
+        socklen_t size = sizeof at;
+        if (::bind(listening_, reinterpret_cast<sockaddr *>(&at), size) != 0 || ::listen(listening_, 8) != 0)
+            throw std::runtime_error("no port");
+        ::getsockname(listening_, reinterpret_cast<sockaddr *>(&at), &size);
+        port = ntohs(at.sin_port);
+        thread_ = std::thread([this] {
+            for (int fd; (fd = ::accept(listening_, nullptr, nullptr)) >= 0;) {
+                what_(fd);
+                ::close(fd);
+            }
+        });
+    }
+    ~hand_server() {
+        ::shutdown(listening_, SHUT_RDWR);
+        thread_.join();
+        ::close(listening_);
+    }
+    int port = 0;
+
+private:
+    std::function<void(int)> what_;
+    int listening_;
+    std::thread thread_;
+};
+
+// A stand whose list has one server, the one that is given.
+std::string only(const stand &with, int port) {
+    std::string config = with.config;
+    const std::string known =
+        R"({"revision":41,"complete":true,"members":[{"id":"s0","host_port":"127.0.0.1:)" +
+        std::to_string(port) +
+        R"(","locality":"a","flavor":"m","cell":0,"phase":"active","size":1.0,"up_since_ms":0}]})";
+    return config.replace(config.find(R"("known":null)"), 12, R"("known":)" + known);
+}
+
+// A proxy before one server that is played by hand; discovery says nothing.
+struct hand_stand {
+    explicit hand_stand(std::function<void(int fd)> what)
+        : with({.silent = true, .starts = false}), server(std::move(what)) {
+        std::string config = with.config;
+        const auto at = config.find(R"("known":{)"), end = config.find(R"(,"settings")");
+        config.replace(at, end - at, R"("known":null)");
+        with.config = config;
+        proxy = std::make_unique<service>(read_configuration(only(with, server.port)), lines, level::debug);
+        port = ntohs(reinterpret_cast<const sockaddr_in &>(proxy->at().where).sin_port);
+    }
+    stand with;
+    std::ostringstream lines;
+    hand_server server;
+    std::unique_ptr<service> proxy;
+    int port = 0;
+};
+
+std::string read_head(int fd) {
+    std::string head;
+    for (char one; head.find("\r\n\r\n") == std::string::npos && ::recv(fd, &one, 1, 0) == 1;)
+        head += one;
+    return head;
+}
+void write_size(int fd, std::size_t size) {
+    const std::string part(65536, 'v');
+    for (; size > 0; size -= std::min(size, part.size()))
+        test::write_text(fd, part.substr(0, std::min(size, part.size())));
+}
+std::size_t read_size(int fd, std::size_t size) {
+    std::vector<char> part(65536);
+    std::size_t got = 0;
+    for (long here; got < size; got += static_cast<std::size_t>(here))
+        if ((here = ::recv(fd, part.data(), std::min(part.size(), size - got), 0)) <= 0)
+            break;
+    return got;
+}
+int dial_port(int port) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto at = test::loopback(port);
+    REQUIRE(::connect(fd, reinterpret_cast<const sockaddr *>(&at), sizeof at) == 0);
+    return fd;
+}
+
+} // namespace
+
+// Guards the limit on memory: the client does not read while the server gives 32 MB, and the other way round.
+TEST_CASE("32 MB each way past a side that waits, in bounded memory") {
+    std::atomic<bool> go = false;
+    std::atomic<std::size_t> body = 0;
+    hand_stand with([&](int fd) {
+        const std::string head = read_head(fd);
+        if (head.starts_with("PUT")) {
+            while (!go)
+                std::this_thread::yield();
+            body = read_size(fd, long_size);
+            test::write_text(fd, ok("stored"));
+        } else {
+            test::write_text(fd,
+                             "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(long_size) + "\r\n\r\n");
+            write_size(fd, long_size);
+        }
+    });
+    const long before = peak_memory();
+    const int reader = dial_port(with.port);
+    test::write_text(reader, asks("read", "1"));
+    const std::string head = read_head(reader); // it is there long before the body's end
+    CHECK(head.starts_with("HTTP/1.1 200"));
+    CHECK(head.find("Content-Length: " + std::to_string(long_size)) != std::string::npos);
+    CHECK(read_size(reader, long_size) == long_size);
+    ::close(reader);
+
+    const int writer = dial_port(with.port);
+    test::write_text(writer,
+                     "PUT /book/2 HTTP/1.1\r\nX-Request-Id: 2\r\nIdempotency-Key: k\r\nContent-Length: " +
+                         std::to_string(long_size) + "\r\n\r\n");
+    std::thread writes([&] { write_size(writer, long_size); });
+    go = true;
+    CHECK(told(test::read_message(writer)) == "HTTP/1.1 200 [stored]");
+    writes.join();
+    CHECK(body == long_size);
+    ::close(writer);
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    CHECK(peak_memory() - before < 4096); // kB; held whole it were 32,768 and more
+#else
+    static_cast<void>(before); // the sanitizers' own memory is counted, too
+#endif
+}
+
+// Guards both sides' framing: how each form of a long answer reaches the client.
+TEST_CASE("long answers in every framing") {
+    std::string form;
+    const std::size_t size = 200000;
+    hand_stand with([&](int fd) {
+        read_head(fd);
+        const std::string ok_line = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n";
+        if (form == "closed" || form == "cut")
+            test::write_text(fd, ok_line + (form == "cut" ? "Content-Length: 300000\r\n\r\n" : "\r\n"));
+        else
+            test::write_text(fd, ok_line + "Transfer-Encoding: chunked\r\n\r\n");
+        if (form.starts_with("c") && form != "chunked") {
+            write_size(fd, size);
+            return;
+        }
+        const std::size_t each = 40; // many small chunks: their lines are more than a body's worth of bytes
+        for (std::size_t at = 0; at < size; at += each)
+            test::write_text(fd, "28;name=value\r\n" + std::string(each, 'v') + "\r\n");
+        if (form == "chunked")
+            test::write_text(fd, "0\r\nTrailer: x\r\n\r\n");
+    });
+    const auto ask = [&](const std::string &how, const std::string &version) {
+        form = how;
+        const int fd = dial_port(with.port);
+        test::write_text(fd,
+                         "GET /read/1 HTTP/" + version + "\r\nX-Request-Id: 1\r\nConnection: close\r\n\r\n");
+        const std::string head = read_head(fd);
+        std::string body;
+        std::vector<char> part(65536);
+        for (long got; (got = ::recv(fd, part.data(), part.size(), 0)) > 0;)
+            body.append(part.data(), static_cast<std::size_t>(got));
+        ::close(fd);
+        if (head.find("Transfer-Encoding: chunked") == std::string::npos)
+            return std::to_string(body.size());
+        const bool ends = body.ends_with("\r\n0\r\n\r\n");
+        return std::to_string(std::count(body.begin(), body.end(), 'v')) +
+               (ends ? " chunked" : " chunked, cut");
+    };
+    CHECK(ask("chunked", "1.1") == "200000 chunked");
+    CHECK(ask("chunked", "1.0") == "200000");
+    CHECK(ask("closed", "1.1") == "200000 chunked");
+    CHECK(ask("cut", "1.1") == "200000"); // of 300000, as its head says
+    CHECK(ask("broken off", "1.1") == "200000 chunked, cut");
+}
+
+// Guards a long body whose server breaks off: it never ran, so the client may come back; and one to HEAD.
+TEST_CASE("a long body that does not come through, and HEAD") {
+    hand_stand with([](int fd) {
+        const std::string head = read_head(fd);
+        if (head.starts_with("HEAD"))
+            test::write_text(fd, "HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n");
+        else
+            read_size(fd, 100000);
+    });
+    const int writer = dial_port(with.port);
+    test::write_text(writer, "PUT /bill/1 HTTP/1.1\r\nX-Request-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    std::thread writes([&] {
+        for (int i = 0; i < 160; ++i)
+            test::write_text(writer, "10000\r\n" + std::string(65536, 'v') + "\r\n");
+        test::write_text(writer, "0\r\n\r\n");
+    });
+    CHECK(read_head(writer).starts_with("HTTP/1.1 503"));
+    writes.join();
+    ::close(writer);
+    const int asker = dial_port(with.port);
+    test::write_text(asker, "HEAD /read/1 HTTP/1.1\r\nX-Request-Id: 3\r\n\r\nGET /_health HTTP/1.1\r\n\r\n");
+    CHECK(read_head(asker).find("Content-Length: 5000000\r\n") != std::string::npos);
+    CHECK(read_head(asker).starts_with("HTTP/1.1 200")); // the next one: no body came between
+    ::close(asker);
+}
+
+// Guards clients that write slowly: 2 s for a head are allowed, and a body in pieces.
+TEST_CASE("a body in pieces that are cut anywhere") {
+    std::string seen;
+    hand_stand with([&](int fd) {
+        seen = read_head(fd);
+        read_size(fd, 150000);
+        test::write_text(fd, ok("stored"));
+    });
+    const std::string all =
+        "\r\nPUT http://origin.svc/book/1 HTTP/1.1\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\n"
+        "Content-Length: 150000\r\n\r\n" +
+        std::string(150000, 'v');
+    const int writer = dial_port(with.port);
+    std::minstd_rand chance(3);
+    for (std::size_t at = 0; at < all.size();) {
+        const std::size_t part = at < 200 ? 1 : 1 + chance() % 9000;
+        test::write_text(writer, all.substr(at, part));
+        at += part;
+        std::this_thread::yield();
+    }
+    CHECK(told(test::read_message(writer)) == "HTTP/1.1 200 [stored]");
+    CHECK(seen.starts_with("PUT /book/1 HTTP/1.1\r\n"));
+    CHECK(seen.find("Content-Length: 150000\r\n") != std::string::npos);
+    ::close(writer);
+}
+
 } // namespace harrierpass::proxy
