--- a/src/proxy/handover.cpp
+++ b/src/proxy/handover.cpp
@@ -82,8 +82,19 @@
     return text;
 }
 
+in_use read_use(std::string_view text) {
+    static constexpr const char *bad = "no numbers of what is in use";
+    const auto space = std::min(text.find(' '), text.size());
+    return {parse_number<std::size_t>(text.substr(0, space), bad),
+            parse_number<std::size_t>(text.substr(std::min(space + 1, text.size())), bad), true};
+}
+
 } // namespace
 
+std::string to_text(const in_use &from) {
+    return std::to_string(from.descriptors) + " " + std::to_string(from.clients);
+}
+
 std::string to_message(const std::vector<news> &from) {
     std::string made;
     for (const auto &each : from)
@@ -140,7 +151,7 @@
             auto state = read_message(text);
             for (const auto &each : state)
                 if (each.what == news::kind::used)
-                    one.used = parse_number<std::size_t>(each.text, "no number of descriptors");
+                    one.used = read_use(each.text);
             links_.push_back(std::move(one));
             return std::pair(std::move(with), std::move(state));
         } catch (const bad_text &) {
@@ -217,7 +228,7 @@
         if (steady_now() - told < used_period || alone)
             continue;
         told = steady_now();
-        const std::string used = std::to_string(calls_.used());
+        const std::string used = to_text(calls_.used());
         const std::lock_guard hold(lock_);
         for (auto &each : links_)
             write(each, {{news::kind::used, used}});
@@ -239,10 +250,9 @@
                 if (!write(from, calls_.state(), listening_))
                     return false;
                 continue;
-            case news::kind::used: {
-                from.used = parse_number<std::size_t>(each.text, "no number of descriptors");
+            case news::kind::used:
+                from.used = read_use(each.text);
                 continue;
-            }
             case news::kind::done: {
                 const std::lock_guard hold(lock_);
                 ++from.done;
@@ -270,10 +280,12 @@
 }
 
 void handover::after_change() {
-    std::size_t used = 0;
+    in_use used;
     bool succeeded = false;
     for (const auto &each : links_) {
-        used += each.used;
+        used.anybody = true;
+        used.descriptors += each.used.descriptors;
+        used.clients += each.used.clients;
         succeeded = succeeded || (each.successor && each.ready);
     }
     succeeded_ = succeeded;
--- a/src/proxy/handover.hpp
+++ b/src/proxy/handover.hpp
@@ -27,12 +27,18 @@
         back_at = 't', // it came back at that time: "SECONDS ID"
         away = 'a',    // clients are sent away ("1") or not ("0")
         ready = 'r',   // the successor takes clients
-        used = 'u',    // so many descriptors are in use
+        used = 'u',    // what is in use: "DESCRIPTORS CLIENTS"
         done = 'd'     // the number of the message that was carried out
     };
     kind what;
     std::string text;
 };
+// Of the limits that all processes of one proxy keep together.
+struct in_use {
+    std::size_t descriptors = 0, clients = 0;
+    bool anybody = false; // there is another process
+};
+std::string to_text(const in_use &from);
 std::string to_message(const std::vector<news> &from);
 // Throws bad_text.
 std::vector<news> read_message(std::string_view from);
@@ -40,10 +46,10 @@
 class handover {
 public:
     struct calls {
-        std::function<std::vector<news>()> state;     // for a successor
-        std::function<void(const news &)> heard;      // carried out when it returns
-        std::function<std::size_t()> used;            // descriptors in use here
-        std::function<void(std::size_t used)> others; // and at the other process; 0: there is none
+        std::function<std::vector<news>()> state;   // for a successor
+        std::function<void(const news &)> heard;    // carried out when it returns
+        std::function<in_use()> used;               // here
+        std::function<void(const in_use &)> others; // at the other processes
     };
 
     // `directory`: where the local socket is; `listen`: whose proxy this is.
@@ -64,7 +70,7 @@
     struct link {
         tcp_socket socket;
         bool successor = false, ready = false;
-        std::size_t used = 0;
+        in_use used;
         unsigned long sent = 0, done = 0; // messages that are to be carried out, by number
     };
 
--- a/src/proxy/listener.hpp
+++ b/src/proxy/listener.hpp
@@ -24,6 +24,7 @@
     // Asked before each connection that is taken: whether another process takes them now.
     std::function<bool()> succeeded = [] { return false; };
     const tcp_socket &socket() const { return socket_; }
+    std::size_t connections();
     // The accepting thread's. Ends once connections are to close and nothing is left.
     void run();
 
@@ -43,7 +44,6 @@
     const char *await_query(entry &me, client &from);
     void set_idle(entry &me, bool idle);
     bool end_one_idle();
-    std::size_t connections();
     bool fuller_than(double share); // of the most connections
 
     engine &with_;
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -494,7 +494,7 @@
     keeps_ = false;
     // Guards a client that could take what came for all of it.
     if (how == framing::by_close && end != relay_end::sink_broke) {
-        const struct ::linger at_once{1, 0};
+        const struct ::linger at_once { 1, 0 };
         setsockopt(from_.socket.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     }
     if (end == relay_end::sink_broke) { // the client's end; the server did what it should
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -36,10 +36,12 @@
     return most > kept + 8 ? most - kept : 8;
 }
 
-std::size_t most_clients(const configuration &given) {
-    const double by_memory = std::max(8.0, (given.memory_mb - own_memory_mb) / client_memory_mb);
+// By the descriptors left for connections, and by memory, of which other processes of this proxy have some.
+std::size_t most_clients(const configuration &given, std::size_t sockets, const in_use &others = {}) {
+    const double own = others.anybody ? 2 * own_memory_mb : own_memory_mb;
+    const double by_memory = (given.memory_mb - own) / client_memory_mb - static_cast<double>(others.clients);
     return static_cast<std::size_t>(
-        std::min(by_memory, static_cast<double>(usable_sockets(given)) * client_share));
+        std::min(std::max(8.0, by_memory), static_cast<double>(sockets) * client_share));
 }
 
 double longest_statement(const configuration &given) {
@@ -82,7 +84,7 @@
     at_ = local_address(socket);
     figures_.name(given_.use_cases);
     catalog_.use_known();
-    listener_.emplace(engine_, std::move(socket), most_clients(given_),
+    listener_.emplace(engine_, std::move(socket), most_clients(given_, usable_sockets(given_)),
                       static_cast<std::size_t>(given_.sockets * tight_share));
     try {
         timer_.emplace([this] { desk_.run_timer([this] { return over(); }); });
@@ -103,7 +105,8 @@
         throw;
     }
     log_.info("started name=", given_.name, " listen=", to_text(at_),
-              " clients-at-most=", most_clients(given_), " control=", door_ ? to_text(door_->at()) : "none");
+              " clients-at-most=", most_clients(given_, usable_sockets(given_)),
+              " control=", door_ ? to_text(door_->at()) : "none");
 }
 
 void service::open_door() {
@@ -182,12 +185,12 @@
                 for (const auto &[id, at] : hands.back)
                     made.push_back({news::kind::back_at, std::to_string(at) + " " + id});
                 made.push_back({news::kind::away, engine_.away() ? "1" : "0"});
-                made.push_back({news::kind::used, std::to_string(upstream_.in_use() + own_sockets)});
+                made.push_back({news::kind::used, to_text(used())});
                 return made;
             },
         .heard = [this](const news &what) { operators_say(what); },
-        .used = [this] { return upstream_.in_use() + own_sockets; },
-        .others = [this](std::size_t used) { leave_others(used); }};
+        .used = [this] { return used(); },
+        .others = [this](const in_use &used) { leave_others(used); }};
     handover_->run(calls, listener_->socket());
 }
 
@@ -227,12 +230,16 @@
         handover_->tell(what);
 }
 
-// Descriptors that the other process of this proxy uses.
-void service::leave_others(std::size_t used) {
+in_use service::used() {
+    return {upstream_.in_use() + own_sockets, listener_->connections(), true};
+}
+
+// What the other processes of this proxy use of the limits.
+void service::leave_others(const in_use &used) {
     const std::size_t all = usable_sockets(given_);
-    const std::size_t left = all > used + 8 ? all - used : 8;
+    const std::size_t left = all > used.descriptors + 8 ? all - used.descriptors : 8;
     upstream_.use_most(left, desk_.now());
-    listener_->use_most(std::min(most_clients(given_), static_cast<std::size_t>(left * client_share)),
+    listener_->use_most(most_clients(given_, left, used),
                         static_cast<std::size_t>(given_.sockets * tight_share));
 }
 
--- a/src/proxy/service.hpp
+++ b/src/proxy/service.hpp
@@ -38,7 +38,8 @@
     void link_up();
     void operators_say(const news &what);
     void tell_others(const news &what);
-    void leave_others(std::size_t used);
+    void leave_others(const in_use &used);
+    in_use used();
 
     const configuration given_;
     log log_;
