--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -39,6 +39,7 @@
 constexpr double base_factor = 2;    // times the origin's answer time at its least load; then queues
 constexpr double quick_share = 0.15; // of the SLO time; so quick a server has room to spare
 constexpr double all_slow_share = 0.6; // of the SLO time; over one server's, as some are slow of themselves
+constexpr double fetch_share = 1.5;    // of the SLO time; so much an answer from the origin counts for all
 constexpr double all_weight = 0.1;     // of a new answer in the mean of all servers; the last ten
 constexpr double slow_weight = 0.2;    // of a new answer in the mean; about the last five answers
 constexpr double trust_memory = 1;     // s; the origin is all there is, so a cut is soon tried again
@@ -524,9 +525,7 @@
         count_in(qry.executions.back(), true);
     }
 
-    bool avoids(index id) const override {
-        return id < servers_.size() && servers_[id].at == health::suspect && !mass_doubt_;
-    }
+    bool avoids(index id) const override { return servers_[id].at == health::suspect && !mass_doubt_; }
 
     void left(double now, index id) override {
         now_ = now;
@@ -568,9 +567,10 @@
         if (!fetched) // an answer that had to come from the origin says little of the server itself
             grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached, srv.in_flight);
         // Guards against jams of which each of many proxies sees too little at any one server. A time-out,
-        // with silence before it, says nothing of the other servers.
+        // with silence before it, says nothing of the other servers, and a few slow fetches little.
         if (srv.at == health::ready && srv.quiet <= 0)
-            grow_or_cut(all_, sent, share, all_reached, total_in_flight_);
+            grow_or_cut(all_, sent, fetched ? std::min(share, fetch_share) : share, all_reached,
+                        total_in_flight_);
     }
 
     // What a server says of its load, if it does.
@@ -582,8 +582,7 @@
         if (!is_origin(srv))
             mean_told_ += slow_weight / 4 * (srv.told - mean_told_);
     }
-    // Old news is drawn to the mean. Guards a cold server against what crowded ones are spared: it counts for
-    // what it can do.
+    // Old news is drawn to the mean. A cold server's counts for what it can do, as it must be spared sooner.
     double told(const server &srv) const {
         const double held =
             mean_told_ + (srv.told - mean_told_) * std::exp((srv.told_at - now_) / news_memory);
