--- a/src/proxy/handover.hpp
+++ b/src/proxy/handover.hpp
@@ -70,7 +70,7 @@
     struct link {
         tcp_socket socket;
         bool successor = false, ready = false;
-        in_use used;
+        in_use used = {};
         unsigned long sent = 0, done = 0; // messages that are to be carried out, by number
     };
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -144,4 +144,61 @@
     CHECK(said == read_file(folder + "/wire_out.txt"));
 }
 
+// Guards a server's good name: a long body on its way there and a long answer on its way back take their
+// client's time. Without either guard the first sweeps after 1.2 s find it silent and probe it.
+TEST_CASE("a long body or answer is no silence") {
+    settings given;
+    given.use_cases.push_back({effect_kind::idempotent, repeat_group::all, 0, 1, 1, 0});
+    given.allow.may_probe = true;
+    const auto probes = [&](const std::function<void(router &)> &then, bool uploading) {
+        const auto route = make_router(given, 1, 0);
+        const std::array<list_entry, 3> all = {{{0, "a"}, {1, "b"}, {2, "c"}}};
+        route->listed(0, list_kind::whole, all);
+        new_query made{0, 0, 0, true, false, 5, 100};
+        made.uploading = uploading;
+        route->arrived(0, made);
+        REQUIRE(route->actions.back().kind == action_kind::send);
+        then(*route);
+        std::size_t sent = 0;
+        for (double now = 0.05; now < 6; now += 0.05) {
+            route->actions.clear();
+            route->woken(now);
+            sent += static_cast<std::size_t>(
+                std::count_if(route->actions.begin(), route->actions.end(),
+                              [](const action &each) { return each.kind == action_kind::probe; }));
+        }
+        return sent;
+    };
+    const auto nothing = [](router &) {};
+    CHECK(probes(nothing, true) == 0);                                    // a body on its way
+    CHECK(probes([](router &of) { of.begun(0.01, 0); }, false) == 0);     // an answer on its way
+    CHECK(probes(nothing, false) > 0);                                    // silence
+    CHECK(probes([](router &of) { of.written(0.01, 0, 90); }, true) > 0); // likewise, once it is written
+}
+
+// Guards the limit on all against a few slow fetches: one of three times the SLO time leaves two fifths of
+// what was in hand; as it stands in time it would leave one.
+TEST_CASE("a slow fetch cuts the limit on all less than a slow server") {
+    const auto goes_on = [](bool fetched) {
+        side one(1);
+        one.list(0, list_kind::whole, 10);
+        index sent = 0;
+        for (index key = 0; key < 60; ++key) {
+            one.route->actions.clear();
+            one.route->arrived(10, {key, 0, 0, true, false, key * 7919ULL, 99});
+            sent += !one.route->actions.empty();
+        }
+        REQUIRE(sent == 60);
+        one.route->ended(13, 0, 0, outcome::completed, true, fetched);
+        for (index key = 1; key < 38; ++key) // 22 stay in hand
+            one.route->ended(13, key, 0, outcome::canceled, true, false);
+        one.list(13, list_kind::whole, 10); // the limits are looked at anew
+        one.route->actions.clear();
+        one.route->arrived(13, {60, 0, 0, true, false, 3, 99});
+        return !one.route->actions.empty();
+    };
+    CHECK(goes_on(true));
+    CHECK_FALSE(goes_on(false));
+}
+
 } // namespace harrierpass
