--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -179,6 +179,11 @@
     std::filesystem::path path;
 };
 
+void wait_until_ready(int door) {
+    while (status_of(call_door(door, "GET /ready")) != "HTTP/1.1 200")
+        std::this_thread::yield();
+}
+
 // Clients that ask all the time, each query on a new connection or on one that is kept while it may be.
 struct load {
     explicit load(int port) {
@@ -224,8 +229,7 @@
     std::size_t seen = 0;                           // by the server that is out
     for (int version = 0; version < 2; ++version) { // a second upgrade right after the first
         auto next = std::make_unique<running>(with, "next" + std::to_string(version) + ".json");
-        while (status_of(call_door(next->door, "GET /ready")) != "HTTP/1.1 200")
-            std::this_thread::yield();
+        wait_until_ready(next->door);
         first->proxy.wait_for("succeeded");
         // A call to one process binds both.
         CHECK(with.servers[0].count() == seen); // out since before the upgrade
@@ -268,6 +272,40 @@
     anew.ends();
 }
 
+// Guards operators who work on a proxy while it is upgraded: a drain goes over, and ends at both.
+TEST_CASE("a drain is handed on") {
+    const own_directory own;
+    stand with({.port = free_port(), .control = true, .starts = false});
+    running first(with, "drained.json");
+    CHECK(status_of(call_door(first.door, "POST /drain")) == "HTTP/1.1 200");
+    running next(with, "after.json");
+    first.proxy.wait_for("succeeded");
+    CHECK(next.proxy.text().find("taken-over out=0 away=1") != std::string::npos);
+    wait_until_ready(next.door); // it takes clients, if any come
+    CHECK(toy_client(next.port).ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(status_of(call_door(first.door, "POST /undrain")) == "HTTP/1.1 200");
+    next.proxy.wait_for("back-to-work");
+    first.proxy.signal(SIGHUP); // it goes on following its own file
+    first.proxy.wait_for("reloaded ");
+    first.ends();
+    CHECK(toy_client(next.port).ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200"));
+    next.ends();
+}
+
+// Guards an upgrade against an old process that hangs: the new one listens beside it after a second.
+TEST_CASE("a successor of a process that hangs") {
+    const own_directory own;
+    stand with({.port = free_port(), .control = true, .starts = false});
+    running first(with, "hangs.json");
+    first.proxy.signal(SIGSTOP);
+    running next(with, "beside.json");
+    CHECK(next.proxy.text().find("taken-over") == std::string::npos);
+    wait_until_ready(next.door);
+    first.proxy.signal(SIGCONT);
+    next.ends();
+    first.ends();
+}
+
 TEST_CASE("messages between two processes") {
     const std::vector<news> all = {
         {news::kind::out, "s 1:2\n"}, {news::kind::away, "1"}, {news::kind::ready, ""}};
