The test of slow clients looks at any connection that is ended for room, not at the first

Of ten connections at rest those beyond half of the room end after 2.2 s; where threads woke in another order the first one stayed among the rest, to its 30 s.

--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -310,7 +310,9 @@
     CHECK(huge.ask("PUT /book/1 HTTP/1.1\r\nContent-Length: 600000000\r\n\r\n").starts_with("HTTP/1.1 413"));
     CHECK(silent.ended());
     CHECK(half.read().starts_with("HTTP/1.1 408"));
-    CHECK(once.front().ended());
+    // Any of them: they end until there is room, and which goes first is a matter of threads.
+    while (std::none_of(once.begin(), once.end(), [](auto &each) { return each.ended_now(); }))
+        std::this_thread::yield();
     CHECK(!stays.ended_now()); // where there is room
     CHECK(std::chrono::steady_clock::now() - from < std::chrono::milliseconds(2900));
     CHECK(told(busy.ask(asks("read", "2"))) == "HTTP/1.1 200 [value]");
