A start that fails for the operators' address ends, as the door opens ahead of the acceptor

Found by reading: the acceptor ends by end() alone, so a control address that is taken or unusable left a process that waited for itself for ever, clients' address in hand. The test hangs without the change.

--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -90,6 +90,7 @@
         timer_.emplace([this] { desk_.run_timer([this] { return over(); }); });
         follower_.emplace([this] { catalog_.run([this] { return over(); }); });
         link_up();
+        open_door(); // ahead of the acceptor, which ends by end() alone: it may fail
         acceptor_.emplace([this, inherited] {
             // Guards clients against a successor that does not know its servers yet.
             while (inherited && !catalog_.ready())
@@ -99,7 +100,6 @@
             takes_ = true;
             listener_->run();
         });
-        open_door();
     } catch (...) { // guards against waiting for ever for the threads that did start
         over_ = true;
         throw;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -45,6 +45,17 @@
     CHECK(call_door(with.door, "GET /metrics").find("Connection: close\r\n") != std::string::npos);
 }
 
+// Guards a start that fails against waiting for its own threads.
+TEST_CASE("an operators' address that cannot be had") {
+    stand with({.control = true, .starts = false});
+    const std::string any = R"("control":"127.0.0.1:0")";
+    for (const std::string &at : {std::string("nonsense"), with.servers[0].at()}) {
+        std::string config = with.config;
+        config.replace(config.find(any), any.size(), R"("control":")" + at + "\"");
+        CHECK_THROWS(service(read_configuration(config), with.lines, level::warning));
+    }
+}
+
 // Guards the time of an answer against callers that say nothing: there are far more of them than places.
 TEST_CASE("silent callers delay nobody") {
     stand with({.control = true});
