One way to let a query go, to count its end, to advance a write, to share an operator's call

From a second reading, behaviour as before: query.cpp ended a query towards the router in three places by the same steps, counted its end in four, and worked out what a first write left as write_all() does; service.cpp had two lambdas alike and one sum twice. Left, as it would change behaviour: prober::probe looks whether its server is out before it dials, not at its first write.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -109,7 +109,7 @@
     return made;
 }
 
-long write_some(const tcp_socket &to, std::string_view head, std::string_view body) {
+long write_some(const tcp_socket &to, std::string_view &head, std::string_view &body) {
     iovec parts[2] = {{const_cast<char *>(head.data()), head.size()},
                       {const_cast<char *>(body.data()), body.size()}};
     msghdr message{};
@@ -118,6 +118,9 @@
     const auto wrote = ::sendmsg(to.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (wrote < 0)
         return errno == EAGAIN || errno == EWOULDBLOCK ? 0 : -1;
+    const auto of_head = std::min(static_cast<std::size_t>(wrote), head.size());
+    head.remove_prefix(of_head);
+    body.remove_prefix(static_cast<std::size_t>(wrote) - of_head);
     return wrote;
 }
 
@@ -135,9 +138,6 @@
         }
         if (wrote < 0)
             return false;
-        const auto of_head = std::min(static_cast<std::size_t>(wrote), head.size());
-        head.remove_prefix(of_head);
-        body.remove_prefix(static_cast<std::size_t>(wrote) - of_head);
     }
     return true;
 }
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -45,8 +45,8 @@
 // Empty when none is waiting or none can be had; errno tells.
 tcp_socket accept_on(const tcp_socket &from, address &peer);
 
-// Writes what there is room for now, the head first; how much; -1: broken.
-long write_some(const tcp_socket &to, std::string_view head, std::string_view body);
+// Writes what there is room for now, the head first, and leaves the rest in them; how much; -1: broken.
+long write_some(const tcp_socket &to, std::string_view &head, std::string_view &body);
 // Writes all of it, or false; `limit` (s) is for the whole.
 bool write_all(const tcp_socket &to, std::string_view head, std::string_view body, double limit);
 
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -22,13 +22,11 @@
 constexpr double write_limit = 5;   // s to take an answer that was held whole
 constexpr std::size_t longest_body = 64UL * 1024 * 1024; // bytes; twice what occurs
 constexpr double upload_limit = 2100;                    // s that the longest body takes at that rate
-constexpr std::size_t early_size =
-    16384;                         // bytes of an answer of unknown length, from which on it is long ...
-constexpr double early_time = 0.1; // ... or s since its head came, if it goes on
-constexpr double source_pause =
-    15;                           // s that a server may pause in a long answer; it may swap, or look for more
-constexpr double sink_pause = 30; // s that a side may take for a window of a long body
-constexpr double upload_linger = 2; // s in which a client may read why its long body was turned off
+constexpr std::size_t early_size = 16384; // bytes from which on an answer of unknown length is long ...
+constexpr double early_time = 0.1;        // ... or s since its head came, if it goes on
+constexpr double source_pause = 15;       // s that a server may pause in a long answer; it may swap
+constexpr double sink_pause = 30;         // s that a side may take for a window of a long body
+constexpr double upload_linger = 2;       // s in which a client may read why its long body was turned off
 constexpr double own_margin = 0.01; // s after the client's end; the router gives its final answer before
 constexpr double stall_share =
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
@@ -50,10 +48,8 @@
     life(engine &with, client &from) : with_(with), from_(from) {}
     // Guards "no query is lost" and the router's count against a failure half way, as for want of memory.
     ~life() {
-        if (!arrived_ || with_.decides.finished(ticket_))
-            return;
-        with_.decides.left(ticket_);
-        with_.decides.dropped(ticket_, outcome::canceled);
+        if (arrived_)
+            let_go();
     }
 
     const char *run();
@@ -69,11 +65,20 @@
     void linger(double limit, int reads);
     const char *answer(int status, string_view fields, string_view body);
     const char *answer_framed(int status, string_view fields, string_view framing, string_view body);
+    // The router is owed nothing more: what is still held or out for the query ends. No harm where it is
+    // over.
+    void let_go() {
+        with_.decides.left(ticket_);
+        with_.decides.dropped(ticket_, outcome::canceled);
+    }
     // The final answer. Counted before it is written: whoever has the answer finds it counted.
     const char *final_answer(verdict how, int status, string_view fields = {}, string_view body = {}) {
+        count_end(how);
+        return answer(status, fields, body);
+    }
+    void count_end(verdict how) {
         take_count();
         shown_.ended(use_case_, how);
-        return answer(status, fields, body);
     }
     // It counts as taken once it is there; one with a long body when that has passed, or when it ends before.
     void take_count() {
@@ -145,8 +150,7 @@
     use_case_ = given_->use_cases[wanted.made.use_case];
     // Guards "no effect twice" and whoever asked first: two with one id cannot be told apart at the servers.
     if (!(id_ = with_.ids.take(std::string(asked.head().value("X-Request-Id"))))) {
-        take_count();
-        shown_.ended(use_case_, verdict::errored);
+        count_end(verdict::errored);
         return done(refuse(409, {}, "a query with this X-Request-Id is open\n"));
     }
     count.add(count::taken);
@@ -188,9 +192,7 @@
         }
         // Guards against a planned end that would cut it off, and against a held query that nobody ends.
         if (desk.now() >= patience() + own_margin) {
-            desk.left(ticket_);
-            if (!desk.finished(ticket_))
-                desk.dropped(ticket_, outcome::canceled);
+            let_go();
             count.add(count::aborted);
             return done(final_answer(verdict::errored, 504));
         }
@@ -215,7 +217,7 @@
         if (end.passed_on) { // the client has it, or its beginning, and what is missing shows
             desk.dropped(ticket_, end.result);
             const bool whole = end.result == outcome::completed;
-            shown_.ended(use_case_, whole ? verdict::answered : verdict::errored);
+            count_end(whole ? verdict::answered : verdict::errored);
             count.add(whole ? count::completed : count::aborted);
             return done(!whole || !from_.socket ? "answer_cut" : keeps_ ? nullptr : "answered_last");
         }
@@ -230,11 +232,7 @@
             return "client_left";
         // What is gone of a long body can't be sent again: the query ends here, harmlessly if it never ran.
         if (uploads_ && end.result != outcome::completed && asked.released() > 0) {
-            if (!desk.finished(ticket_)) {
-                desk.left(ticket_);
-                if (!desk.finished(ticket_))
-                    desk.dropped(ticket_, outcome::canceled);
-            }
+            let_go();
             if (gone)
                 return "client_left";
             const bool harmless = !counted_ || never_ran(end.result);
@@ -247,7 +245,7 @@
             count.add(count::completed);
             if (!head_only_)
                 return done(final_answer(verdict::answered, 200, passed_on(head), answered.body()));
-            shown_.ended(use_case_, verdict::answered);
+            count_end(verdict::answered);
             return done(answer_framed(200, passed_on(head),
                                       answered.length() ? length_field(*answered.length()) : "", {}));
         }
@@ -320,10 +318,6 @@
     return ends;
 }
 
-std::size_t of_head(long wrote, string_view head) {
-    return std::min(static_cast<std::size_t>(wrote), head.size());
-}
-
 // One execution at the server the router chose. Whatever fails before the query's last byte is written
 // never ran; after that it may have.
 execution_end life::execute(const orders &now, http_reader &asked, http_reader &answer) {
@@ -339,14 +333,11 @@
         ++to.executions;
         const double left = uploads_ ? patience_ : statement_end_ - desk.now();
         const std::string head = forwarded(asked, left, !uploads_);
-        const string_view body = uploads_ ? string_view{} : asked.body();
+        string_view rest = head, body = uploads_ ? string_view{} : asked.body();
         long wrote = 0;
-        if (!with_.servers.unless_out(now.server, [&] { wrote = write_some(to.socket, head, body); })) {
+        if (!with_.servers.unless_out(now.server, [&] { wrote = write_some(to.socket, rest, body); })) {
             come = {outcome::ignored, "out"};
-        } else if (wrote < 0 ||
-                   !write_all(to.socket, string_view(head).substr(of_head(wrote, head)),
-                              body.substr(static_cast<std::size_t>(wrote) - of_head(wrote, head)),
-                              patience() - desk.now())) {
+        } else if (wrote < 0 || !write_all(to.socket, rest, body, patience() - desk.now())) {
             come.reason = "write_failed";
         } else if (uploads_) {
             come = upload(to.socket, asked);
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr std::size_t own_sockets = 26; // descriptors: standard ones, listener, discovery, probes, spare
+constexpr std::size_t least_left = 8;   // descriptors for connections, however few there are
 constexpr std::size_t door_sockets = 1 + control::most_callers; // the operators' door, where there is one
 constexpr double client_share = 0.6; // of the others, at most; a held query has a client and no server
 constexpr double tight_share = 0.3; // of all descriptors; clients may hold a third, and must find room before
@@ -28,12 +29,17 @@
 constexpr double short_wait = 0.005;     // s between looks whether the list is there
 constexpr double grace_share = 0.5;      // of the time until the last answers; the rest is for those
 
+// Descriptors, but for some without which nothing goes on.
+std::size_t left_of(std::size_t all, std::size_t taken) {
+    return all > taken + least_left ? all - taken : least_left;
+}
+
 std::size_t usable_sockets(const configuration &given) {
     rlimit own{};
     const bool told = getrlimit(RLIMIT_NOFILE, &own) == 0 && own.rlim_cur != RLIM_INFINITY;
     const std::size_t most = told ? std::min<std::size_t>(given.sockets, own.rlim_cur) : given.sockets;
     const std::size_t kept = own_sockets + refused_room + (given.control.empty() ? 0 : door_sockets);
-    return most > kept + 8 ? most - kept : 8;
+    return left_of(most, kept);
 }
 
 // By the descriptors left for connections, and by memory, of which other processes of this proxy have some.
@@ -128,23 +134,17 @@
                           },
                       .take_out =
                           [this](const std::string &id) {
-                              if (!catalog_.take_out(id))
-                                  return false;
-                              tell_others({news::kind::out, id});
-                              return true;
+                              return share(catalog_.take_out(id), {news::kind::out, id});
                           },
                       .take_back =
                           [this](const std::string &id) {
-                              if (!catalog_.take_back(id))
-                                  return false;
-                              tell_others({news::kind::back, id});
-                              return true;
+                              return share(catalog_.take_back(id), {news::kind::back, id});
                           },
                       .send_away =
                           [this](bool away) {
                               const news what{news::kind::away, away ? "1" : "0"};
                               operators_say(what);
-                              tell_others(what);
+                              share(true, what);
                           },
                   });
 }
@@ -225,9 +225,11 @@
     }
 }
 
-void service::tell_others(const news &what) {
-    if (handover_)
+// What was carried out here holds for the other processes of this proxy, too.
+bool service::share(bool done, const news &what) {
+    if (done && handover_)
         handover_->tell(what);
+    return done;
 }
 
 in_use service::used() {
@@ -236,8 +238,7 @@
 
 // What the other processes of this proxy use of the limits.
 void service::leave_others(const in_use &used) {
-    const std::size_t all = usable_sockets(given_);
-    const std::size_t left = all > used.descriptors + 8 ? all - used.descriptors : 8;
+    const std::size_t left = left_of(usable_sockets(given_), used.descriptors);
     upstream_.use_most(left, desk_.now());
     listener_->use_most(most_clients(given_, left, used),
                         static_cast<std::size_t>(given_.sockets * tight_share));
--- a/src/proxy/service.hpp
+++ b/src/proxy/service.hpp
@@ -37,7 +37,7 @@
     tcp_socket take_over(const address &where);
     void link_up();
     void operators_say(const news &what);
-    void tell_others(const news &what);
+    bool share(bool done, const news &what);
     void leave_others(const in_use &used);
     in_use used();
 
