A probe looks whether its server is out as it writes, not before it dials

A server taken out by hand in the quarter second in which a probe's connection comes up was written to.

--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -66,12 +66,14 @@
     if (kind != list_kind::changes)
         listed_.clear();
     for (const auto &each : list.items) {
-        if (each.as.state == listing::gone && !index_of_.contains(each.id))
+        const bool known = index_of_.contains(each.id);
+        if (each.as.state == listing::gone && !known)
             continue; // nothing was ever heard of it
         const index at = index_for(each.id);
         if (each.as.state != listing::gone) {
             upstream_.place(at, each.id, each.host_port, each.as.started, desk_.now());
-            upstream_.set_out(at, hands_.out.contains(each.id));
+            if (!known) // its place may have been another's; the others' gates follow the operators' calls
+                upstream_.set_out(at, hands_.out.contains(each.id));
         }
         auto entry = each.as;
         entry.server = at;
--- a/src/proxy/probe.cpp
+++ b/src/proxy/probe.cpp
@@ -41,18 +41,26 @@
 
 // Not on a kept connection: one from before a silence would speak of the process that was there then.
 std::optional<bool> prober::probe(index server) {
-    if (!upstream_.unless_out(server, [] {}))
-        return std::nullopt; // not made: it is out by hand
-    counters_.add(count::probes);
     auto to = upstream_.dial_new(server, desk_.now());
+    std::string_view asks = "GET /ping HTTP/1.1\r\nHost: probe\r\n\r\n", none;
+    // Guards a server that operators take out while the connection comes up.
+    const bool may = upstream_.unless_out(server, [&] {
+        if (to.socket)
+            write_some(to.socket, asks, none); // where it breaks, so does the exchange
+    });
+    if (!may) {
+        if (to.socket)
+            upstream_.end(std::move(to), desk_.now(), "out");
+        return std::nullopt; // not made
+    }
+    counters_.add(count::probes);
     if (!to.socket) {
         upstream_.end_kept(server, desk_.now(), "suspect");
         return false;
     }
     const auto buffer = buffers_.take();
     http_reader reader(whole(buffer), http_reader::side::answer);
-    const bool whole_answer = exchange(to.socket, "GET /ping HTTP/1.1\r\nHost: probe\r\n\r\n", reader,
-                                       dials * desk_.given()->dial_limit);
+    const bool whole_answer = exchange(to.socket, asks, reader, dials * desk_.given()->dial_limit);
     const bool answered = whole_answer && reader.head().status == 200;
     if (answered)
         counters_.add(count::probes_answered);
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -145,6 +145,41 @@
 }
 
 // Guards clients of a proxy that is sent away, and its return.
+// Guards a server that operators take out while a probe's connection comes up: nothing is written to it.
+TEST_CASE("a probe that meets a ban") {
+    stand with({.starts = false});
+    desk decides(std::make_shared<const configuration>(read_configuration(with.config)));
+    decides.on_probe = [](index) {};
+    decides.on_subscribe = [] {};
+    counters count;
+    std::ostringstream lines;
+    log log_to(lines, level::debug);
+    buffer_pool buffers;
+    upstream servers(5, 1, 100, count, log_to);
+    // Its queue of connections is full, so the probe's comes up only when there is room again.
+    const tcp_socket listening(::socket(AF_INET, SOCK_STREAM, 0));
+    const address any = *parse_address("127.0.0.1:0");
+    REQUIRE(::bind(listening.get(), reinterpret_cast<const sockaddr *>(&any.where), any.size) == 0);
+    REQUIRE(::listen(listening.get(), 0) == 0);
+    const address at = local_address(listening);
+    const tcp_socket filler = dial(at, 1);
+    REQUIRE(filler);
+    servers.place(0, "s0", to_text(at), 0, decides.now());
+    {
+        prober probes(decides, servers, buffers, count);
+        decides.listed(list_kind::whole, {{list_entry{.server = 0, .id = "s0"}}});
+        probes.start(0);
+        while (count.of(count::server_dials) == 0)
+            std::this_thread::yield();
+        servers.set_out(0, true);
+        address peer;
+        const tcp_socket first = accept_on(listening, peer), probe = accept_on(listening, peer);
+        char byte;
+        CHECK(::recv(probe.get(), &byte, 1, 0) == 0); // ended, and nothing was written
+    }
+    CHECK(count.of(count::probes) == 0);
+}
+
 TEST_CASE("clients are sent away, and come back") {
     stand with({.control = true});
     toy_client rests(with.port), asks_on(with.port);
