The list's word that a server is gone is a suspicion where only a drain binds

Now it is a suspect that gets trials, and gets its part of its keys, as cold, once it answers one; drained first, it stays away. It counts in no mass doubt. It should also guard against a list that loses entries; it could do harm where many are taken away for good undrained: a probe each 4 s each. Trace dropped.txt, seen to fail with the module of before.

--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -70,7 +70,8 @@
     std::string id;
     list_entry as; // as last listed, but for the id
     health at = health::ready;
-    bool broke = false, died = false;       // an execution broke; and then a trial of the suspect failed
+    bool broke = false, died = false; // an execution broke; and then a trial of the suspect failed
+    bool dropped = false;             // by the list, which had not told of a drain; it may still be there
     index points = 0, laid = 0, active = 0; // points of its own; those on the ring; those in use now
     index in_flight = 0;
     limit lim;
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -169,16 +169,20 @@
 
     // The figures that depend on every server: who can take work, and how much.
     void refresh() {
-        const auto suspects = static_cast<std::size_t>(std::count_if(
-            on_ring_.begin(), on_ring_.end(), [&](index id) { return servers_[id].at == health::suspect; }));
-        // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared.
-        mass_doubt_ = suspects * 2 > on_ring_.size();
+        // Guards against emptying the ring on suspicion: when most look bad, the cause is likely shared. That
+        // the list drops many is told by the list.
+        std::size_t listed = 0, suspects = 0;
+        for (index id : on_ring_) {
+            listed += !servers_[id].dropped;
+            suspects += !servers_[id].dropped && servers_[id].at == health::suspect;
+        }
+        mass_doubt_ = suspects * 2 > listed;
         usable_ = 0;
         all_.parts = 0;
         for (index id : on_ring_) {
             auto &srv = servers_[id];
             srv.active = static_cast<index>(std::ceil(srv.points * warmth(srv)));
-            if (srv.at == health::suspect && !mass_doubt_)
+            if (doubted(srv))
                 continue;
             ++usable_;
             all_.parts += warmth(srv);
@@ -207,11 +211,14 @@
         return srv.in_flight + qry.luck < cap && now_ >= srv.full_until;
     }
 
+    bool doubted(const server &srv) const {
+        return srv.at == health::suspect && (!mass_doubt_ || srv.dropped);
+    }
+
     bool usable(index id, const query &qry) const {
         const auto &srv = servers_[id];
-        return srv.at != health::suspect || mass_doubt_ ||
-               (!allow_.may_probe && now_ >= srv.trial_at && srv.in_flight == 0 && qry.executions.empty() &&
-                qry.use.effect == effect_kind::idempotent);
+        return !doubted(srv) || (!allow_.may_probe && now_ >= srv.trial_at && srv.in_flight == 0 &&
+                                 qry.executions.empty() && qry.use.effect == effect_kind::idempotent);
     }
 
     // Walks left from a query's position and collects the first distinct servers that may take it; those in
@@ -255,7 +262,7 @@
         index best = !found.empty() || on_ring_.empty() ? none : nobody;
         for (index id : found) {
             auto &srv = servers_[id];
-            if (srv.at == health::suspect && !mass_doubt_) {
+            if (doubted(srv)) {
                 srv.trial_at = now_ + srv.gap;
                 return id;
             }
@@ -525,7 +532,7 @@
         count_in(qry.executions.back(), true);
     }
 
-    bool avoids(index id) const override { return servers_[id].at == health::suspect && !mass_doubt_; }
+    bool avoids(index id) const override { return doubted(servers_[id]); }
 
     void left(double now, index id) override {
         now_ = now;
@@ -651,6 +658,10 @@
             call_at_ = std::numeric_limits<double>::infinity(); // subscribed, until it is lost
             call_gap_ = first_call_gap;
         }
+        std::vector<index> ready; // so far
+        for (index id = 0; id < servers_.size() && allow_.drain_binds_alone; ++id)
+            if (servers_[id].as.state == listing::ready && !is_origin(servers_[id]))
+                ready.push_back(id);
         if (kind != list_kind::changes) // what a whole list leaves out is gone
             for (auto &srv : servers_)
                 srv.as.state = listing::gone;
@@ -669,6 +680,7 @@
             const bool restarted = entry.started > srv.as.started;
             srv.as = entry;
             srv.as.id = {}; // it is the caller's
+            srv.dropped = srv.dropped && entry.state == listing::gone;
             const double points = (allow_.weights_live ? 1 : entry.weight) * points_per_weight;
             srv.points = static_cast<index>(std::clamp(std::round(points), 1.0, most_points));
             if (!is_origin(srv) &&
@@ -678,12 +690,27 @@
                 srv.cold_since = entry.started > 0 ? std::min(entry.started, now) : now;
             }
         }
+        for (const index id : ready)
+            if (servers_[id].as.state == listing::gone)
+                drop_from_list(id);
         recount();
         relay();
         refresh();
         drain();
     }
 
+    // Guards against a list that is late or untrue: what it drops without a drain is a suspect whose process
+    // died, and gets work again, as cold, once it answers a trial.
+    void drop_from_list(index id) {
+        auto &srv = servers_[id];
+        srv.as.state = listing::ready;
+        if (std::exchange(srv.dropped, true))
+            return; // dropped before; what it did since counts
+        if (srv.at != health::suspect)
+            feel(id, sign::struck);
+        srv.died = true;
+    }
+
     // The periodic work, then all that has come due.
     void woken(double now) override {
         now_ = now;
--- a/src/router/types.hpp
+++ b/src/router/types.hpp
@@ -28,8 +28,9 @@
 struct allowances {
     bool may_cancel = false;
     bool may_probe = false;
-    bool must_subscribe = false; // the list tells changes only to those who asked
-    double must_ask_in = 3600;   // s without asking after which the list counts as told
+    bool must_subscribe = false;    // the list tells changes only to those who asked
+    double must_ask_in = 3600;      // s without asking after which the list counts as told
+    bool drain_binds_alone = false; // one that the list drops without having told of a drain may be sent to
     bool weights_live = false;
     index max_executions = 1;
     double max_advice = 0; // s, the longest wait that a rejection may advise; 0: none
--- a/src/setup/setup.cpp
+++ b/src/setup/setup.cpp
@@ -102,6 +102,7 @@
                          : none;
     to.allow.weights_live = given.one_of("weights", {"off", "nominal", "rough", "live"}) == "live";
     to.allow.must_ask_in = given.seconds_within("rules.mustAskInMs", to.allow.must_ask_in, 0, longest);
+    to.allow.drain_binds_alone = given.flag("rules.drainBindsAlone");
     to.allow.must_subscribe = given.one_of("discovery", {"automatic", "subscribe"}) == "subscribe";
     to.allow.may_cancel = given.flag("limits.cancel");
     to.allow.may_probe = given.flag("limits.probes");
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -87,6 +87,7 @@
                                                          {"excess_importance", &settings_.excess_importance}};
         const std::map<std::string, bool *> flags = {{"may_cancel", &allow.may_cancel},
                                                      {"may_probe", &allow.may_probe},
+                                                     {"drain_alone", &allow.drain_binds_alone},
                                                      {"subscribe", &allow.must_subscribe}};
         const std::map<std::string, index *> counts = {{"executions", &allow.max_executions},
                                                        {"peers", &settings_.peers},
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -15,7 +15,7 @@
     for (const std::string name :
          {"walk",         "effects", "timeout", "drain", "cold",     "miss",       "origin_limit", "tenants",
           "subscription", "silence", "cancel",  "jam",   "crowd",    "small_ring", "resets",       "errors",
-          "stuck",        "beyond",  "reports", "full",  "refusing", "adopt"}) {
+          "stuck",        "beyond",  "reports", "full",  "refusing", "adopt",      "dropped"}) {
         CAPTURE(name);
         const std::string kept = read_file(folder + "/" + name + ".txt");
         CHECK(!kept.empty());
