Errors that all servers answer alike are the queries' own: no repeat, no blame

An error was repeated at up to three other servers and told against each: four in a row condemned healthy ones (ended() and repeat()). What is out by their own fault stands out: a server whose share of errors lies 0.3 over that of all answers. Below it, once errors are a tenth of all, the query ends after its one execution and no server's name suffers; nothing need be common to such queries, by key or customer.

It could do harm where all servers fail a like share of sound queries (a bad release everywhere): those lose their second try.

--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -76,6 +76,7 @@
     index in_flight = 0;
     limit lim;
     double bad = 0;               // mean share of broken executions
+    double errors = 0;            // mean share of errors among its answers
     double quiet = 0, silent = 0; // execution-seconds without a sign of life, and seconds of it
     double quiet_at = 0;          // up to when
     double cold_since = 0, full_until = 0;
@@ -134,6 +135,7 @@
     limit all_;                              // on executions at all of them
     double room_ = 0;                        // what it comes to
     double mean_answer_ = 0;                 // s
+    double errors_ = 0;                      // mean share of errors among all answers
     double mean_told_ = 0;                   // queries in hand, by the servers' reports
     double least_silent_ = 0;                // s
     double shortest_ = 0;                    // SLO time, s
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -47,10 +47,13 @@
 constexpr double quiet_limit = 12;     // mean answer times of silence; rare by chance even where work varies
 constexpr double silent_share =
     0.2; // of the middle SLO time; a pause of a process or a lost packet is no silence
-constexpr double bad_weight = 0.21;  // of a broken execution in the mean; three in a row condemn
-constexpr double error_weight = 0.2; // of an error answer, maybe the query's own fault; four condemn
-constexpr double bad_limit = 0.5;    // share of broken executions; over it a server is worse than none
-constexpr double trial_gap = 0.5;    // s to the first trial of a suspect server
+constexpr double bad_weight = 0.21;   // of a broken execution in the mean; three in a row condemn
+constexpr double error_weight = 0.2;  // of an error answer, maybe the query's own fault; four condemn
+constexpr double fault_weight = 0.05; // of an answer in the share of errors of all servers; the last twenty
+constexpr double fault_share = 0.1; // of all answers; more errors, alike at all servers, are the queries' own
+constexpr double fault_lead = 0.3;  // of its answers; so many more errors than all, and they are the server's
+constexpr double bad_limit = 0.5;   // share of broken executions; over it a server is worse than none
+constexpr double trial_gap = 0.5;   // s to the first trial of a suspect server
 constexpr double most_trial_gap = 4; // s; a dead server costs one trial in this time
 constexpr double repeat_share = 0.2; // repeats earned by a query; further work stays a fifth of all
 constexpr double repeat_burst = 10;  // repeats saved up; enough for what one dying server held
@@ -363,8 +366,17 @@
         return input::nothing;
     }
 
+    // Guards servers' good names, and room, against queries that fail wherever they go: many errors, and as
+    // many here as elsewhere.
+    bool fails_anywhere(const server &srv) const {
+        return errors_ > fault_share && srv.errors < errors_ + fault_lead;
+    }
+
     input repeat(index id) {
         const auto &qry = queries_[id];
+        const auto &last = qry.executions.back();
+        if (last.result == outcome::error && fails_anywhere(servers_[last.server]))
+            return input::hopeless;
         if (repeats_ < 1 || (qry.to_origin && !qry.write) || qry.use.effect == effect_kind::non_idempotent)
             return input::hopeless;
         --repeats_;
@@ -482,7 +494,14 @@
             srv.quiet = srv.silent = 0;
         const bool broken = result == outcome::reset || result == outcome::connect_error;
         srv.broke = srv.broke || broken;
-        const double worse = broken ? bad_weight : result == outcome::error ? error_weight : 0;
+        if (answered && result != outcome::queue_full) {
+            const double error = result == outcome::error ? 1 : 0;
+            srv.errors += error_weight * (error - srv.errors);
+            errors_ += fault_weight * (error - errors_);
+        }
+        const double worse = broken                                             ? bad_weight
+                             : result == outcome::error && !fails_anywhere(srv) ? error_weight
+                                                                                : 0;
         srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
         if (counted && (result == outcome::completed || result == outcome::miss)) {
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
