--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -114,6 +114,7 @@
     double peers_ = 1, excess_importance_ = 1;
     double end_margin_ = 0; // s before the statement timeout at which a query gets its final answer
     index origin_kind_ = none;
+    index home_zone_ = none; // the proxy's
     index own_zone_ = none;  // whose servers go first; none: nowhere
     double cross_price_ = 0; // of an answer's worth
     index origin_ = none;
@@ -131,16 +132,17 @@
     std::vector<server> servers_;
     std::vector<point> ring_;
     std::vector<index> on_ring_;
-    index usable_ = 0, total_in_flight_ = 0; // servers to choose from; executions at all of them
-    limit all_;                              // on executions at all of them
-    double room_ = 0;                        // what it comes to
-    double mean_answer_ = 0;                 // s
-    double errors_ = 0;                      // mean share of errors among all answers
-    double mean_told_ = 0;                   // queries in hand, by the servers' reports
-    double least_silent_ = 0;                // s
-    double shortest_ = 0;                    // SLO time, s
-    double swept_ = 0;                       // when the last sweep was, s
-    bool mass_doubt_ = false;                // so many are suspect that suspicion is not to be trusted
+    index usable_ = 0, total_in_flight_ = 0;     // servers to choose from; executions at all of them
+    limit all_;                                  // on executions at all of them
+    double room_ = 0;                            // what it comes to
+    double mean_answer_ = 0;                     // s
+    double errors_ = 0;                          // mean share of errors among all answers
+    std::unordered_map<index, double> quickest_; // s, of a zone's latest answers; never iterated
+    double mean_told_ = 0;                       // queries in hand, by the servers' reports
+    double least_silent_ = 0;                    // s
+    double shortest_ = 0;                        // SLO time, s
+    double swept_ = 0;                           // when the last sweep was, s
+    bool mass_doubt_ = false;                    // so many are suspect that suspicion is not to be trusted
 
     double call_at_ = 0, call_gap_ = 0; // when the list is asked for next; s between calls
 };
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -42,6 +42,7 @@
 constexpr double fetch_share = 1.5;    // of the SLO time; so much an answer from the origin counts for all
 constexpr double all_weight = 0.1;     // of a new answer in the mean of all servers; the last ten
 constexpr double slow_weight = 0.2;    // of a new answer in the mean; about the last five answers
+constexpr double way_weight = 0.1;     // of an answer in the quickest of its zone; it rises over the last ten
 constexpr double trust_memory = 1;     // s; the origin is all there is, so a cut is soon tried again
 constexpr double news_memory = 4;      // s; what a server did before then says little of its load now
 constexpr double quiet_limit = 12;     // mean answer times of silence; rare by chance even where work varies
@@ -49,7 +50,7 @@
     0.2; // of the middle SLO time; a pause of a process or a lost packet is no silence
 constexpr double bad_weight = 0.21;   // of a broken execution in the mean; three in a row condemn
 constexpr double error_weight = 0.2;  // of an error answer, maybe the query's own fault; four condemn
-constexpr double fault_weight = 0.05; // of an answer in the share of errors of all servers; the last twenty
+constexpr double fault_weight = 0.03; // of an answer in the share of errors of all servers; the last thirty
 constexpr double fault_share = 0.1; // of all answers; more errors, alike at all servers, are the queries' own
 constexpr double fault_lead = 0.4;  // of its answers; so many more errors than all, and they are the server's
 constexpr double bad_limit = 0.5;   // share of broken executions; over it a server is worse than none
@@ -86,6 +87,7 @@
         peers_ = given.peers;
         excess_importance_ = given.excess_importance;
         origin_kind_ = given.origin_kind;
+        home_zone_ = given.own_zone;
         own_zone_ = given.cross_price > given.origin_price ? given.own_zone : none;
         cross_price_ = own_zone_ == none ? 0 : given.cross_price;
         auto by_time = use_cases_;
@@ -103,6 +105,7 @@
     void adopt(double now, const settings &given) override {
         now_ = now;
         take(given);
+        quickest_.clear(); // zones have other numbers
         all_.least = least_cap / peers_;
         for (auto &srv : servers_)
             srv.lim.least = least_cap / peers_;
@@ -578,6 +581,16 @@
         }
     }
 
+    // Guards the limit on all against a slow way to a zone: by so much its quickest answers of late lag
+    // behind those at home, and that is no load. Of an answer that took so long, s.
+    double way(index zone, double took) {
+        if (zone == none || home_zone_ == none)
+            return 0;
+        auto &here = quickest_[zone];
+        here = std::min(took, here + way_weight * (took - here));
+        return std::clamp(here - quickest_[home_zone_], 0.0, took);
+    }
+
     // An answer that took this share of the SLO time: what it says of its server and of the whole.
     void learn(server &srv, double sent, double share, bool fetched) {
         auto &lim = srv.lim;
@@ -594,9 +607,12 @@
             grow_or_cut(lim, sent, share, srv.in_flight + 1 > lim.cap || all_reached, srv.in_flight);
         // Guards against jams of which each of many proxies sees too little at any one server. A time-out,
         // with silence before it, says nothing of the other servers, and a few slow fetches little.
-        if (srv.at == health::ready && srv.quiet <= 0)
-            grow_or_cut(all_, sent, fetched ? std::min(share, fetch_share) : share, all_reached,
+        if (srv.at == health::ready && srv.quiet <= 0) {
+            const double took = now_ - sent,
+                         load = took > 0 ? share * (1 - way(srv.as.zone, took) / took) : share;
+            grow_or_cut(all_, sent, fetched ? std::min(load, fetch_share) : load, all_reached,
                         total_in_flight_);
+        }
     }
 
     // What a server says of its load, if it does.
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -176,6 +176,43 @@
     CHECK(probes([](router &of) { of.written(0.01, 0, 90); }, true) > 0); // likewise, once it is written
 }
 
+// Guards the limit on all against a slow way to another zone: half of the servers lie beyond it, and their
+// answers come later and later, up to 1.6 SLO times; those at home have room all the same.
+TEST_CASE("a slow way is no load") {
+    const auto sent_at_once = [](index home) {
+        settings given;
+        given.use_cases.push_back({effect_kind::idempotent, repeat_group::all, 0, 1, 1, 0});
+        given.own_zone = home;
+        const auto route = make_router(given, 1, 0);
+        const std::array<std::string, 10> names = {"s0", "s1", "s2", "s3", "s4",
+                                                   "s5", "s6", "s7", "s8", "s9"};
+        std::vector<list_entry> entries(names.size());
+        for (index i = 0; i < entries.size(); ++i) {
+            entries[i].server = i;
+            entries[i].id = names[i];
+            entries[i].zone = i % 2;
+        }
+        route->listed(0, list_kind::whole, entries);
+        for (index turn = 1; turn <= 400; ++turn) {
+            route->actions.clear();
+            route->arrived(turn * 2, {0, 0, 0, true, false, turn * 7919ULL, 1e6});
+            const index to = route->actions.at(0).server;
+            route->ended(turn * 2 + (to % 2 == 1 ? std::min(1.6, 0.3 + turn * 0.005) : 0.3), 0, 0,
+                         outcome::completed, true, false);
+        }
+        route->listed(899, list_kind::changes, {}); // the limits are looked at anew
+        index sent = 0;
+        for (index key = 0; key < 30; ++key) {
+            route->actions.clear();
+            route->arrived(900, {key, 0, 0, true, false, key * 104729ULL, 1e6});
+            sent += !route->actions.empty();
+        }
+        return sent;
+    };
+    CHECK(sent_at_once(0) > 25);
+    CHECK(sent_at_once(none) <= 20); // where no zone is home, slow is slow
+}
+
 // Guards the limit on all against a few slow fetches: one of three times the SLO time leaves two fifths of
 // what was in hand; as it stands in time it would leave one.
 TEST_CASE("a slow fetch cuts the limit on all less than a slow server") {
