The laboratory in rooms; all proxies of a run are told to end at once

Now world, loop, load, processes, judge, runs and program; what the world sees goes to an interface (world/witness.hpp) that the referee implements, so that parts of the world can become processes. SIGTERM goes to all proxies before any is waited for.

--- a/src/lab/plot.cpp
+++ b/src/lab/judge/plot.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/plot.hpp"
+#include "lab/judge/plot.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/lab/plot.hpp
+++ b/src/lab/judge/plot.hpp
@@ -3,7 +3,7 @@
 // what each server has in hand, a row each, for the first one.
 #pragma once
 
-#include "lab/stage.hpp"
+#include "lab/judge/result.hpp"
 
 namespace harrierpass::lab {
 
--- a/src/lab/referee.cpp
+++ b/src/lab/judge/referee.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/referee.hpp"
+#include "lab/judge/referee.hpp"
 
 #include <algorithm>
 #include <bit>
--- a/src/lab/referee.hpp
+++ b/src/lab/judge/referee.hpp
@@ -16,8 +16,9 @@
 //   end wrong_body     an answer was made for another query
 #pragma once
 
-#include "lab/spec.hpp"
-#include "lab/timeline.hpp"
+#include "lab/world/spec.hpp"
+#include "lab/world/timeline.hpp"
+#include "lab/world/witness.hpp"
 
 #include <array>
 #include <deque>
@@ -27,8 +28,6 @@
 
 namespace harrierpass::lab {
 
-using operation = std::uint64_t;
-
 enum class rule : std::uint8_t {
     lost,
     answered_twice,
@@ -42,33 +41,24 @@
 };
 const char *name_of(rule which);
 
-// How a client's try ended.
-enum class reply : std::uint8_t { completed, rejected, aborted, cut, none };
-
-class referee {
+class referee : public witness {
 public:
     // `slack`: s by which the clocks of threads and sockets may differ.
     referee(const timeline &clock, const experiment &given, double slack)
         : clock_(clock), given_(given), slack_(slack) {}
 
-    // The clients.
-    void asked(operation op, index attempt, index proxy, index use_case, double end);
-    void answered(operation op, index attempt, reply how, bool body_fits);
-    void unanswered(operation op,
-                    index attempt); // its end has come, or its connection ended, without an answer
-    void settled(operation op);     // no further try
-    // Its proxy never had it, as for want of a connection: nothing is owed.
-    void untaken(operation op, index attempt);
-
-    // The servers. `sent`: when, s.
-    void meet(operation op, index attempt, index use_case); // where strangers' queries may come
-    void received(operation op, index attempt, index server, double sent);
-    void over(operation op, index attempt, index server); // answered, or its connection ended
-    void ran(operation op, index attempt, index server);  // its effect took place
-    void fell(index server);                              // cold, and pushed over
+    void asked(operation op, index attempt, index proxy, index use_case, double end) override;
+    void answered(operation op, index attempt, reply how, bool body_fits) override;
+    void unanswered(operation op, index attempt) override;
+    void settled(operation op) override;
+    void untaken(operation op, index attempt) override;
+    void meet(operation op, index attempt, index use_case) override;
+    void received(operation op, index attempt, index server, double sent) override;
+    void over(operation op, index attempt, index server) override;
+    void ran(operation op, index attempt, index server) override;
+    void fell(index server) override;
+    void told(index proxy, index server, listing as) override;
 
-    // The list and the proxies.
-    void told(index proxy, index server, listing as);
     void restarted(index proxy);           // killed: what it held is its clients' to try again
     void paused(index proxy, bool begins); // stands still by a fault: it cannot answer in time
 
--- a/src/lab/report.cpp
+++ b/src/lab/judge/report.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/report.hpp"
+#include "lab/judge/report.hpp"
 
 #include "router/router.hpp"
 
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <iomanip>
 #include <map>
+#include <numeric>
 #include <nlohmann/json.hpp>
 #include <ostream>
 #include <sstream>
@@ -43,6 +44,11 @@
 
 } // namespace
 
+std::uint64_t run_result::broken() const {
+    return std::accumulate(rules.begin(), rules.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, const auto &each) { return sum + each.second; });
+}
+
 std::string commit() {
     const char *const given = std::getenv("HARRIERLAB_COMMIT");
     return given != nullptr ? given : HARRIERPASS_COMMIT;
--- a/src/lab/report.hpp
+++ b/src/lab/judge/report.hpp
@@ -3,7 +3,7 @@
 // compared in pairs, with what is noise told from what is not.
 #pragma once
 
-#include "lab/stage.hpp"
+#include "lab/judge/result.hpp"
 
 #include <cmath>
 #include <iosfwd>
--- a/src/lab/client_port.cpp
+++ b/src/lab/load/client_port.cpp
@@ -1,14 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/client_port.hpp"
+#include "lab/load/client_port.hpp"
 
-#include "lab/fleet_ports.hpp"
+#include "lab/world/ids.hpp"
 
 #include <algorithm>
 #include <charconv>
 
 namespace harrierpass::lab {
 
-client_port::client_port(loop &in, const experiment &given, clients &people, referee &judge, index proxies)
+client_port::client_port(loop &in, const experiment &given, clients &people, witness &judge, index proxies)
     : loop_(in), given_(given), people_(people), judge_(judge), proxies_(proxies) {
     people_.send = [this](const asking &query) { return send(query); };
     people_.leave = [this](const asking &query) { leave(query); };
--- a/src/lab/client_port.hpp
+++ b/src/lab/load/client_port.hpp
@@ -3,14 +3,14 @@
 // and as many more as are needed.
 #pragma once
 
-#include "lab/channel.hpp"
-#include "lab/clients.hpp"
+#include "lab/loop/channel.hpp"
+#include "lab/load/clients.hpp"
 
 namespace harrierpass::lab {
 
 class client_port {
 public:
-    client_port(loop &in, const experiment &given, clients &people, referee &judge, index proxies);
+    client_port(loop &in, const experiment &given, clients &people, witness &judge, index proxies);
 
     // Where a proxy is, from now on; none: it is not there, and what it had is cut.
     void place(index proxy, const std::optional<address> &at);
@@ -37,7 +37,7 @@
     loop &loop_;
     const experiment &given_;
     clients &people_;
-    referee &judge_;
+    witness &judge_;
     std::vector<place_of_proxy> proxies_;
     struct connection {
         std::shared_ptr<channel> on;
--- a/src/lab/clients.cpp
+++ b/src/lab/load/clients.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/clients.hpp"
+#include "lab/load/clients.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -18,7 +18,7 @@
 
 } // namespace
 
-clients::clients(timeline &clock, const experiment &given, referee &judge, std::uint32_t seed)
+clients::clients(timeline &clock, const experiment &given, witness &judge, std::uint32_t seed)
     : clock_(clock), given_(given), judge_(judge), chance_(seed), retries_(chance_.seed()),
       floods_(std::max<std::size_t>(1, given.tenants.size()), 1.0), by_tenant_(given.tenants.size()),
       by_use_(given.use_cases.size()) {
--- a/src/lab/clients.hpp
+++ b/src/lab/load/clients.hpp
@@ -5,10 +5,12 @@
 // Closed loop: a number of clients that ask again once they have their answer.
 #pragma once
 
-#include "lab/histogram.hpp"
-#include "lab/referee.hpp"
+#include "lab/world/histogram.hpp"
+#include "lab/world/spec.hpp"
+#include "lab/world/timeline.hpp"
+#include "lab/world/witness.hpp"
 
-#include "lab/chance.hpp"
+#include "lab/world/chance.hpp"
 
 #include <array>
 #include <functional>
@@ -35,7 +37,7 @@
 
 class clients {
 public:
-    clients(timeline &clock, const experiment &given, referee &judge, std::uint32_t seed);
+    clients(timeline &clock, const experiment &given, witness &judge, std::uint32_t seed);
 
     void start(); // from the present time on, for the experiment's length
     void pause(bool begins);
@@ -84,7 +86,7 @@
 
     timeline &clock_;
     const experiment &given_;
-    referee &judge_;
+    witness &judge_;
     chance chance_, retries_;
     std::vector<double> sums_; // of popularity, by rank
     std::vector<double> uses_; // of shares, by use case
--- a/src/lab/channel.cpp
+++ b/src/lab/loop/channel.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/channel.hpp"
+#include "lab/loop/channel.hpp"
 
 #include <cerrno>
 #include <cstring>
--- a/src/lab/channel.hpp
+++ b/src/lab/loop/channel.hpp
@@ -3,7 +3,7 @@
 // connection at rest holds no buffer.
 #pragma once
 
-#include "lab/loop.hpp"
+#include "lab/loop/loop.hpp"
 #include "net/http.hpp"
 #include "net/sockets.hpp"
 
--- a/src/lab/loop.cpp
+++ b/src/lab/loop/loop.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/loop.hpp"
+#include "lab/loop/loop.hpp"
 
 #include "net/threads.hpp"
 
--- a/src/lab/loop.hpp
+++ b/src/lab/loop/loop.hpp
@@ -3,7 +3,7 @@
 // timeline follows the machine's clock (Unix time), so that the same models run in it as in virtual time.
 #pragma once
 
-#include "lab/timeline.hpp"
+#include "lab/world/timeline.hpp"
 
 #include <functional>
 #include <unordered_map>
--- a/src/lab/fleet_ports.cpp
+++ b/src/lab/processes/fleet_ports.cpp
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/fleet_ports.hpp"
+#include "lab/processes/fleet_ports.hpp"
 
-#include "lab/virtual_proxy.hpp"
 #include "router/router.hpp"
 
 #include <algorithm>
@@ -51,25 +50,6 @@
 
 } // namespace
 
-std::string to_id(operation op, index attempt) {
-    return "q" + std::to_string(op) + "-" + std::to_string(attempt);
-}
-
-std::pair<operation, index> from_id(std::string_view id) {
-    operation op = 0;
-    index attempt = 0;
-    if (id.starts_with('q')) {
-        const char *const end = id.data() + id.size();
-        const auto [dash, bad] = std::from_chars(id.data() + 1, end, op);
-        if (bad == std::errc{} && dash != end && *dash == '-') {
-            const auto [last, worse] = std::from_chars(dash + 1, end, attempt);
-            if (worse == std::errc{} && last == end)
-                return {op, attempt};
-        }
-    }
-    return {ring_hash(id) | (operation{1} << 63), 0};
-}
-
 // ---- A server
 
 server_port::server_port(loop &in, stage &of, index number, int port)
--- a/src/lab/fleet_ports.hpp
+++ b/src/lab/processes/fleet_ports.hpp
@@ -4,8 +4,9 @@
 // these away as a process or a machine that dies would.
 #pragma once
 
-#include "lab/channel.hpp"
-#include "lab/stage.hpp"
+#include "lab/loop/channel.hpp"
+#include "lab/runs/stage.hpp"
+#include "lab/world/ids.hpp"
 
 #include <unordered_set>
 
@@ -97,8 +98,4 @@
     std::vector<std::unique_ptr<list_port>> lists_;
 };
 
-// The id of a try as it stands in X-Request-Id, and back; an id of another make is an operation of its own.
-std::string to_id(operation op, index attempt);
-std::pair<operation, index> from_id(std::string_view id);
-
 } // namespace harrierpass::lab
--- a/src/lab/process.cpp
+++ b/src/lab/processes/process.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/process.hpp"
+#include "lab/processes/process.hpp"
 
 #include <array>
 #include <cerrno>
@@ -125,11 +125,4 @@
     reap();
 }
 
-bool proxy_process::wait(double seconds) {
-    // Its log may be more than a pipe holds.
-    const double end = loop_.clock.now() + seconds;
-    loop_.run([&] { return !runs() || loop_.clock.now() > end; });
-    return !runs();
-}
-
 } // namespace harrierpass::lab
--- a/src/lab/process.hpp
+++ b/src/lab/processes/process.hpp
@@ -2,7 +2,7 @@
 // A proxy under test as a process of its own: started, watched by its log, signalled, and weighed.
 #pragma once
 
-#include "lab/loop.hpp"
+#include "lab/loop/loop.hpp"
 #include "net/sockets.hpp"
 
 #include <fstream>
@@ -33,7 +33,6 @@
     void start();
     void signal(int which);
     void kill();               // outright, and waits for its end
-    bool wait(double seconds); // for its own end; false: it goes on
     bool runs() const { return pid_ > 0; }
     pid_t pid() const { return pid_; }
     double cpu() const { return cpu_; } // s, of all its ended processes
--- a/src/lab/fleet_shell.cpp
+++ b/src/lab/program/fleet_shell.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/fleet_shell.hpp"
+#include "lab/program/fleet_shell.hpp"
 
-#include "lab/virtual_proxy.hpp"
+#include "lab/runs/virtual_proxy.hpp"
 
 #include <array>
 #include <csignal>
--- a/src/lab/fleet_shell.hpp
+++ b/src/lab/program/fleet_shell.hpp
@@ -3,7 +3,7 @@
 // typed in.
 #pragma once
 
-#include "lab/fleet_ports.hpp"
+#include "lab/processes/fleet_ports.hpp"
 
 #include <iosfwd>
 
--- a/src/lab/main.cpp
+++ b/src/lab/program/main.cpp
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 // harrierlab: the laboratory's command line. Exit codes: 0 all is well; 1 a rule was broken; 2 the command
 // line or an experiment is not usable; 3 the machine was too slow for the run, which does not count.
-#include "lab/deciders.hpp"
-#include "lab/fleet_shell.hpp"
-#include "lab/plot.hpp"
-#include "lab/report.hpp"
-#include "lab/socket_run.hpp"
-#include "lab/virtual_run.hpp"
+#include "lab/runs/deciders.hpp"
+#include "lab/program/fleet_shell.hpp"
+#include "lab/judge/plot.hpp"
+#include "lab/judge/report.hpp"
+#include "lab/runs/socket_run.hpp"
+#include "lab/runs/virtual_run.hpp"
 
 #include "proxy/service.hpp"
 
--- a/src/lab/deciders.cpp
+++ b/src/lab/runs/deciders.cpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/deciders.hpp"
+#include "lab/runs/deciders.hpp"
 
-#include "lab/chance.hpp"
+#include "lab/world/chance.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/deciders.hpp
+++ b/src/lab/runs/deciders.hpp
@@ -9,7 +9,7 @@
 //                 by
 #pragma once
 
-#include "lab/spec.hpp"
+#include "lab/world/spec.hpp"
 #include "router/router.hpp"
 
 #include <memory>
--- a/src/lab/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/socket_run.hpp"
+#include "lab/runs/socket_run.hpp"
 
-#include "lab/client_port.hpp"
-#include "lab/deciders.hpp"
-#include "lab/fleet_ports.hpp"
-#include "lab/process.hpp"
+#include "lab/load/client_port.hpp"
+#include "lab/runs/deciders.hpp"
+#include "lab/processes/fleet_ports.hpp"
+#include "lab/processes/process.hpp"
 #include "net/threads.hpp"
 #include "proxy/service.hpp"
 
@@ -83,21 +83,12 @@
         run_result made = all_.result(as_, "sockets");
         if (!all_.done())
             made.void_because = "queries were still open long after the load";
-        double cpu = 0;
         std::uint64_t resident = 0;
-        for (auto &each : proxies_) {
-            each.ends = true;
-            if (!each.process)
-                continue;
-            if (const auto weight = weigh(each.process->pid()))
-                resident = std::max(resident, weight->resident_kb);
-            each.process->signal(SIGCONT);
-            each.process->signal(SIGTERM);
-            if (!each.process->wait(end_limit))
-                ++crashes_;
-            each.process->kill();
-            cpu += each.process->cpu();
-        }
+        for (auto &each : proxies_)
+            if (each.process)
+                if (const auto weight = weigh(each.process->pid()))
+                    resident = std::max(resident, weight->resident_kb);
+        const double cpu = end_all();
         made.rules.emplace_back("crashed", crashes_);
         const auto count = std::max<std::uint64_t>(1, made.queries);
         made.proxies = {
@@ -123,6 +114,31 @@
     }
 
 private:
+    // All are told before any is waited for: a planned end takes most of a second, and hundreds in turn minutes.
+    double end_all() {
+        for (auto &each : proxies_) {
+            each.ends = true;
+            if (each.process) {
+                each.process->signal(SIGCONT);
+                each.process->signal(SIGTERM);
+            }
+        }
+        const double limit = loop_.clock.now() + end_limit;
+        loop_.run([&] { return none_runs() || loop_.clock.now() > limit; });
+        double cpu = 0;
+        for (auto &each : proxies_) {
+            if (!each.process)
+                continue;
+            crashes_ += each.process->runs() ? 1 : 0;
+            each.process->kill();
+            cpu += each.process->cpu();
+        }
+        return cpu;
+    }
+    bool none_runs() const {
+        return std::none_of(proxies_.begin(), proxies_.end(),
+                            [](const proxy_here &each) { return each.process && each.process->runs(); });
+    }
     bool all_ready() const {
         return std::all_of(proxies_.begin(), proxies_.end(),
                            [](const proxy_here &each) { return each.ready; });
--- a/src/lab/socket_run.hpp
+++ b/src/lab/runs/socket_run.hpp
@@ -3,7 +3,7 @@
 // process of its own, or embedded as the library that others can link.
 #pragma once
 
-#include "lab/stage.hpp"
+#include "lab/runs/stage.hpp"
 
 namespace harrierpass::lab {
 
--- a/src/lab/stage.cpp
+++ b/src/lab/runs/stage.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/stage.hpp"
+#include "lab/runs/stage.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -15,11 +15,6 @@
 
 } // namespace
 
-std::uint64_t run_result::broken() const {
-    return std::accumulate(rules.begin(), rules.end(), std::uint64_t{0},
-                           [](std::uint64_t sum, const auto &each) { return sum + each.second; });
-}
-
 stage::stage(timeline &with, const experiment &of, std::uint32_t seed, double slack)
     : clock(with), given(of), judge(with, of, slack), servers(with, of, judge, seed),
       list(with, of, servers.size(), seed + 1), people(with, of, judge, seed + 2), seed_(seed) {
--- a/src/lab/virtual_proxy.cpp
+++ b/src/lab/runs/virtual_proxy.cpp
@@ -1,5 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/virtual_proxy.hpp"
+#include "lab/runs/virtual_proxy.hpp"
+
+#include "lab/world/ids.hpp"
 
 #include <algorithm>
 
@@ -14,10 +16,6 @@
 
 } // namespace
 
-std::string server_id(index number) {
-    return "s-" + std::to_string(number);
-}
-
 void proxy_counts::add(const proxy_counts &that) {
     sent += that.sent;
     completed += that.completed;
--- a/src/lab/virtual_proxy.hpp
+++ b/src/lab/runs/virtual_proxy.hpp
@@ -4,10 +4,11 @@
 // in the module, so that the referee can be shown to see them.
 #pragma once
 
-#include "lab/clients.hpp"
-#include "lab/deciders.hpp"
-#include "lab/membership.hpp"
-#include "lab/servers.hpp"
+#include "lab/judge/referee.hpp"
+#include "lab/load/clients.hpp"
+#include "lab/runs/deciders.hpp"
+#include "lab/world/membership.hpp"
+#include "lab/world/servers.hpp"
 
 namespace harrierpass::lab {
 
@@ -89,6 +90,4 @@
     proxy_counts counts_;
 };
 
-std::string server_id(index number);
-
 } // namespace harrierpass::lab
--- a/src/lab/virtual_run.cpp
+++ b/src/lab/runs/virtual_run.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/virtual_run.hpp"
+#include "lab/runs/virtual_run.hpp"
 
 #include <chrono>
 
--- a/src/lab/virtual_run.hpp
+++ b/src/lab/runs/virtual_run.hpp
@@ -2,8 +2,8 @@
 // A run in virtual time: one thread, no sockets, the same trace for the same seed.
 #pragma once
 
-#include "lab/stage.hpp"
-#include "lab/virtual_proxy.hpp"
+#include "lab/runs/stage.hpp"
+#include "lab/runs/virtual_proxy.hpp"
 
 namespace harrierpass::lab {
 
--- a/src/lab/histogram.cpp
+++ b/src/lab/world/histogram.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/histogram.hpp"
+#include "lab/world/histogram.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/lab/membership.cpp
+++ b/src/lab/world/membership.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/membership.hpp"
+#include "lab/world/membership.hpp"
 
 #include <algorithm>
 
--- a/src/lab/membership.hpp
+++ b/src/lab/world/membership.hpp
@@ -3,9 +3,9 @@
 // silent, stale or flap. Without I/O; the virtual proxies and the HTTP port read the same object.
 #pragma once
 
-#include "lab/chance.hpp"
-#include "lab/spec.hpp"
-#include "lab/timeline.hpp"
+#include "lab/world/chance.hpp"
+#include "lab/world/spec.hpp"
+#include "lab/world/timeline.hpp"
 
 #include <functional>
 #include <vector>
--- a/src/lab/servers.cpp
+++ b/src/lab/world/servers.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/servers.hpp"
+#include "lab/world/servers.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -302,7 +302,7 @@
 
 // ---- The fleet
 
-fleet::fleet(timeline &with, const experiment &of, referee &by, std::uint32_t seed)
+fleet::fleet(timeline &with, const experiment &of, witness &by, std::uint32_t seed)
     : clock(with), given(of), judge(by), origin_(with, of, seed) {
     index most = given.fleet.servers;
     for (const auto &each : given.faults)
--- a/src/lab/servers.hpp
+++ b/src/lab/world/servers.hpp
@@ -3,8 +3,10 @@
 // The same objects serve a run in virtual time and one on sockets.
 #pragma once
 
-#include "lab/chance.hpp"
-#include "lab/referee.hpp"
+#include "lab/world/chance.hpp"
+#include "lab/world/spec.hpp"
+#include "lab/world/timeline.hpp"
+#include "lab/world/witness.hpp"
 
 #include <deque>
 #include <functional>
@@ -152,7 +154,7 @@
 // All servers, what they share, and what deduplication remembers.
 class fleet {
 public:
-    fleet(timeline &clock, const experiment &given, referee &judge, std::uint32_t seed);
+    fleet(timeline &clock, const experiment &given, witness &judge, std::uint32_t seed);
 
     cache_server &at(index number) { return servers_[number]; }
     index size() const { return static_cast<index>(servers_.size()); }
@@ -163,7 +165,7 @@
 
     timeline &clock;
     const experiment &given;
-    referee &judge;
+    witness &judge;
 
 private:
     friend class cache_server;
--- a/src/lab/spec.cpp
+++ b/src/lab/world/spec.cpp
@@ -1,5 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
-#include "lab/spec.hpp"
+#include "lab/world/spec.hpp"
 
 #include "setup/words.hpp"
 
--- /dev/null
+++ b/src/lab/world/witness.hpp
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// What the modelled world tells of itself: each thing that a client, a server, the list or a link sees, once,
+// as it happens. The referee hears it directly where all lives in one process; where parts of the world are
+// processes of their own, a writer takes it down with its time and the referee hears it in the order of these
+// times (judge/merge.hpp). Times are the speaker's clock, s.
+#pragma once
+
+#include "router/types.hpp"
+
+#include <cstdint>
+
+namespace harrierpass::lab {
+
+// What a client wants once; each of its tries is a query with an id of its own.
+using operation = std::uint64_t;
+
+// How a client's try ended.
+enum class reply : std::uint8_t { completed, rejected, aborted, cut, none };
+
+class witness {
+public:
+    virtual ~witness() = default;
+
+    // The clients.
+    virtual void asked(operation op, index attempt, index proxy, index use_case, double end) = 0;
+    virtual void answered(operation op, index attempt, reply how, bool body_fits) = 0;
+    // Its end has come, or its connection ended, without an answer.
+    virtual void unanswered(operation op, index attempt) = 0;
+    virtual void settled(operation op) = 0; // no further try
+    // Its proxy never had it, as for want of a connection: nothing is owed.
+    virtual void untaken(operation op, index attempt) = 0;
+
+    // The servers. `sent`: when, s.
+    virtual void meet(operation op, index attempt, index use_case) = 0; // where strangers' queries may come
+    virtual void received(operation op, index attempt, index server, double sent) = 0;
+    virtual void over(operation op, index attempt, index server) = 0; // answered, or its connection ended
+    virtual void ran(operation op, index attempt, index server) = 0;  // its effect took place
+    virtual void fell(index server) = 0;                              // cold, and pushed over
+
+    // The list and the proxies.
+    virtual void told(index proxy, index server, listing as) = 0;
+};
+
+} // namespace harrierpass::lab
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -4,12 +4,12 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "helpers.hpp"
 
-#include "lab/client_port.hpp"
-#include "lab/fleet_ports.hpp"
-#include "lab/plot.hpp"
-#include "lab/report.hpp"
-#include "lab/socket_run.hpp"
-#include "lab/virtual_run.hpp"
+#include "lab/load/client_port.hpp"
+#include "lab/processes/fleet_ports.hpp"
+#include "lab/judge/plot.hpp"
+#include "lab/judge/report.hpp"
+#include "lab/runs/socket_run.hpp"
+#include "lab/runs/virtual_run.hpp"
 
 #include <cmath>
 #include <cstdio>
