--- /dev/null
+++ b/src/lab/judge/figures.cpp
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/judge/figures.hpp"
+
+#include <algorithm>
+
+namespace harrierpass::lab {
+
+std::size_t most_within(const std::vector<double> &times, double width) {
+    std::size_t most = 0, first = 0;
+    for (std::size_t last = 0; last < times.size(); ++last) {
+        while (times[last] - times[first] >= width)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+fleet_figures::fleet_figures(const timeline &clock, const experiment &given, index servers)
+    : clock_(clock), given_(given), dials_(servers + 1), executions_(servers + 1), open_(servers + 1),
+      zones_(given.fleet.zones.size()) {}
+
+// What the proxies did before the load is start-up: calls and connections of it count as of second 0.
+void fleet_figures::begin() {
+    began_ = clock_.now();
+}
+
+std::size_t fleet_figures::second() const {
+    return static_cast<std::size_t>(std::max(0.0, clock_.now() - began_));
+}
+
+void fleet_figures::dialled(index server, bool there) {
+    dials_.at(server).push_back(clock_.now());
+    dead_dials_ += !there;
+}
+
+void fleet_figures::opened(index server) {
+    open_most_ = std::max(open_most_, ++open_.at(server));
+}
+
+void fleet_figures::closed(index server) {
+    if (open_.at(server) > 0)
+        --open_[server];
+}
+
+void fleet_figures::execution(index server) {
+    auto &of = executions_.at(server);
+    of.resize(std::max(of.size(), second() + 1));
+    ++of[second()];
+}
+
+void fleet_figures::sent_to_dead(bool probe) {
+    ++(probe ? dead_probes_ : dead_sends_);
+}
+
+void fleet_figures::called(list_call as, std::size_t bytes) {
+    ++(as == list_call::whole ? whole_ : as == list_call::watch ? watch_ : refused_);
+    list_bytes_ += bytes;
+    calls_.push_back(clock_.now());
+}
+
+void fleet_figures::served(index proxy_zone, double worth, double asked) {
+    auto &of = zones_.at(proxy_zone);
+    of.first += worth;
+    of.second += asked;
+}
+
+std::vector<std::pair<std::string, double>> fleet_figures::all(std::uint64_t queries) const {
+    const auto count = static_cast<double>(std::max<std::uint64_t>(1, queries));
+    double dials = 0, most = 0;
+    for (const auto &each : dials_) {
+        dials += static_cast<double>(each.size());
+        most = std::max(most, static_cast<double>(most_within(each, 1)));
+    }
+    // In each second the busiest server against the mean of all that got any in the run.
+    std::vector<double> over;
+    const auto seconds = static_cast<std::size_t>(given_.length);
+    for (std::size_t i = 0; i < seconds; ++i) {
+        double sum = 0, busiest = 0, servers = 0;
+        for (const auto &each : executions_) {
+            if (each.empty())
+                continue;
+            const double one = i < each.size() ? each[i] : 0;
+            sum += one;
+            busiest = std::max(busiest, one);
+            ++servers;
+        }
+        if (sum > 0)
+            over.push_back(busiest * servers / sum);
+    }
+    std::sort(over.begin(), over.end());
+    double worst_zone = 1;
+    for (const auto &[worth, asked] : zones_)
+        worst_zone = asked > 0 ? std::min(worst_zone, worth / asked) : worst_zone;
+    return {{"dials_a_query", dials / count},
+            {"dials_most_1s", most},
+            {"open_most", static_cast<double>(open_most_)},
+            {"list_whole", static_cast<double>(whole_)},
+            {"list_watch", static_cast<double>(watch_)},
+            {"list_refused", static_cast<double>(refused_)},
+            {"list_kb", static_cast<double>(list_bytes_) / 1024},
+            {"list_most_100ms", static_cast<double>(most_within(calls_, 0.1))},
+            {"dead_dials", static_cast<double>(dead_dials_)},
+            {"dead_sends", static_cast<double>(dead_sends_)},
+            {"dead_probes", static_cast<double>(dead_probes_)},
+            {"over_mean_p50", over.empty() ? 0 : over[over.size() / 2]},
+            {"over_mean_most", over.empty() ? 0 : over.back()},
+            {"worst_zone", worst_zone}};
+}
+
+} // namespace harrierpass::lab
--- /dev/null
+++ b/src/lab/judge/figures.hpp
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+// Figures of a whole fleet that no one process could tell: what all proxies together do to each server and to
+// the list service. Told by the stand-ins; in virtual time by the links' ends.
+#pragma once
+
+#include "lab/world/histogram.hpp"
+#include "lab/world/spec.hpp"
+#include "lab/world/timeline.hpp"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace harrierpass::lab {
+
+enum class list_call : std::uint8_t { whole, watch, refused };
+
+class fleet_figures {
+public:
+    fleet_figures(const timeline &clock, const experiment &given, index servers);
+
+    void begin(); // the load does
+    // A connection to a server. `there`: somebody is.
+    void dialled(index server, bool there);
+    void opened(index server);
+    void closed(index server);
+    void execution(index server);               // came to a server
+    void sent_to_dead(bool probe);              // an execution that found nobody, or a probe
+    void called(list_call as, std::size_t bytes); // what the list service made of a call
+    void served(index proxy_zone, double worth, double asked); // a client's query, settled
+
+    // By name, in the order in which reports have them.
+    std::vector<std::pair<std::string, double>> all(std::uint64_t queries) const;
+
+private:
+    std::size_t second() const;
+    const timeline &clock_;
+    const experiment &given_;
+    double began_ = 0;
+    std::vector<std::vector<double>> dials_; // by server: when
+    std::vector<double> calls_;              // of the list: when
+    std::vector<std::vector<std::uint32_t>> executions_; // by server, second
+    std::vector<std::uint64_t> open_;        // by server
+    std::uint64_t open_most_ = 0, dead_dials_ = 0, dead_sends_ = 0, dead_probes_ = 0;
+    std::uint64_t whole_ = 0, watch_ = 0, refused_ = 0, list_bytes_ = 0;
+    std::vector<std::pair<double, double>> zones_; // by zone: served, asked
+};
+
+// The most of these times, in their order, that lie within any `width` s.
+std::size_t most_within(const std::vector<double> &times, double width);
+
+} // namespace harrierpass::lab
--- a/src/lab/judge/referee.hpp
+++ b/src/lab/judge/referee.hpp
@@ -23,7 +23,9 @@
 #include <array>
 #include <deque>
 #include <iosfwd>
+#include <map>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 
 namespace harrierpass::lab {
@@ -61,6 +63,9 @@
 
     void restarted(index proxy);           // killed: what it held is its clients' to try again
     void paused(index proxy, bool begins); // stands still by a fault: it cannot answer in time
+    // A link between two ends is in trouble by a fault: what it held, and what an end could not see, is nobody's
+    // fault while that lasts and shortly after.
+    void link_trouble(link_kind kind, index near, index far, bool begins);
 
     std::uint64_t broken(rule which) const { return broken_[static_cast<std::size_t>(which)]; }
     std::uint64_t broken() const;
@@ -94,6 +99,7 @@
         index attempt, proxy, out = 0;
         double end, asked;
         bool answered = false, excused = false, gone = false; // gone: its client left before an answer
+        index out_at = none; // the server that the latest one is at
     };
     struct run_of { // one execution
         index attempt, server;
@@ -111,6 +117,11 @@
         listing as = listing::ready;
         double when = 0;
     };
+    struct trouble {
+        bool now = false;
+        double since = 0, until = -1e9;
+    };
+    bool strained(link_kind kind, index near, index far, double at) const;
     record *find(operation op);
     open_try *find(record &of, index attempt);
     void note(record &to, operation op, what is, index attempt, index who);
@@ -126,6 +137,7 @@
     std::vector<std::vector<notice>> told_; // by proxy, server
     std::vector<index> paused_;             // by proxy: faults that hold it now
     std::vector<double> paused_until_;      // by proxy
+    std::map<std::tuple<link_kind, index, index>, trouble> links_;
     std::array<std::uint64_t, static_cast<std::size_t>(rule::total)> broken_{};
     std::vector<std::string> stories_;
     std::uint64_t executions_ = 0, effects_ = 0, late_effects_ = 0, hash_ = 14695981039346656037ULL;
--- a/src/lab/judge/report.cpp
+++ b/src/lab/judge/report.cpp
@@ -91,6 +91,8 @@
         made["use_cases"][name] = value;
     for (const auto &[name, value] : run.tenants)
         made["tenants"][name] = value;
+    for (const auto &[name, value] : run.fleet)
+        made["fleet"][name] = value;
     made["slots"] = {{"service", run.slot_service}, {"p50", run.slot_p50},         {"p99", run.slot_p99},
                      {"rate", run.slot_rate},       {"fetches", run.slot_fetches}, {"in_hand", run.in_hand}};
     json faults = json::array();
@@ -130,6 +132,9 @@
             run.void_because = from.at("void_because");
             for (const auto &[name, value] : from.at("rules").items())
                 run.rules.emplace_back(name, value);
+            if (from.contains("fleet"))
+                for (const auto &[name, value] : from.at("fleet").items())
+                    run.fleet.emplace_back(name, value);
             run.slot_length = from.at("slot_length");
             const auto list = [&](const char *name) {
                 std::vector<double> values;
--- a/src/lab/judge/result.hpp
+++ b/src/lab/judge/result.hpp
@@ -22,6 +22,7 @@
     std::vector<std::pair<std::string, std::uint64_t>> rules;       // broken, by name
     std::vector<std::pair<std::string, std::uint64_t>> proxies;     // their counts
     std::vector<std::pair<std::string, double>> use_cases, tenants; // service by name
+    std::vector<std::pair<std::string, double>> fleet;              // figures of the whole fleet, by name
     std::vector<std::string> stories;
     std::string void_because; // not empty: the run does not count
 
--- /dev/null
+++ b/src/lab/links/conditions.cpp
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/links/conditions.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace harrierpass::lab {
+namespace {
+
+constexpr std::uint64_t most_ends = 1U << 24; // of one kind; keeps a link's number whole
+constexpr std::array<link_kind, 4> kinds = {link_kind::client_proxy, link_kind::proxy_server,
+                                            link_kind::proxy_list, link_kind::proxy_proxy};
+
+bool has(const std::vector<index> &list, index one) {
+    return std::find(list.begin(), list.end(), one) != list.end();
+}
+
+} // namespace
+
+link_table::link_table(const experiment &given, index servers, std::uint32_t seed)
+    : given_(given), servers_(servers), touched_(given.links.size()) {
+    const index proxies = given.proxies.count;
+    for (std::size_t i = 0; i < given.links.size(); ++i) {
+        const auto &fault = given.links[i];
+        chance from(seed + 31 * static_cast<std::uint32_t>(i + 1));
+        for (const link_kind kind : kinds) {
+            if (!fault.between.empty() &&
+                std::find(fault.between.begin(), fault.between.end(), kind) == fault.between.end())
+                continue;
+            const index nears = kind == link_kind::client_proxy ? 1 : proxies;
+            const index fars = kind == link_kind::proxy_server ? servers_
+                               : kind == link_kind::proxy_list ? 1
+                                                               : proxies;
+            for (index near = 0; near < nears; ++near)
+                for (index far = 0; far < fars; ++far) {
+                    const link_id id{kind, near, far};
+                    // Chance is asked for each pair, so that one link's luck does not hang on another's.
+                    const bool chosen = from.happens(fault.share);
+                    if (!chosen || !touches(fault, id) || (kind == link_kind::proxy_proxy && near == far))
+                        continue;
+                    links_[number(id)].id = id;
+                    touched_[i].push_back(number(id));
+                }
+        }
+    }
+}
+
+std::uint64_t link_table::number(const link_id &which) const {
+    return (static_cast<std::uint64_t>(which.kind) * most_ends + which.near) * most_ends + which.far;
+}
+
+bool link_table::touches(const link_fault_spec &fault, const link_id &which) const {
+    const auto proxy_in = [&](index one) {
+        return fault.kind == link_fault_kind::partition ? has(fault.proxies, one)
+                                                        : fault.proxies.empty() || has(fault.proxies, one);
+    };
+    const auto server_in = [&](index one) {
+        return fault.kind == link_fault_kind::partition ? has(fault.servers, one)
+                                                        : fault.servers.empty() || has(fault.servers, one);
+    };
+    if (fault.kind == link_fault_kind::partition)
+        switch (which.kind) { // it crosses the border
+        case link_kind::client_proxy:
+            return fault.clients && proxy_in(which.far);
+        case link_kind::proxy_server:
+            return proxy_in(which.near) != server_in(which.far);
+        case link_kind::proxy_list:
+            return proxy_in(which.near) != fault.list;
+        case link_kind::proxy_proxy:
+            return proxy_in(which.near) != proxy_in(which.far);
+        }
+    switch (which.kind) {
+    case link_kind::client_proxy:
+        return proxy_in(which.far);
+    case link_kind::proxy_server:
+        return proxy_in(which.near) && server_in(which.far);
+    case link_kind::proxy_list:
+        return proxy_in(which.near);
+    case link_kind::proxy_proxy:
+        return proxy_in(which.near);
+    }
+    return false;
+}
+
+way_now link_table::datagrams(index from, index to) const {
+    way_now made = now({link_kind::proxy_proxy, from, to}).there;
+    const way_now &that = now({link_kind::proxy_proxy, to, from}).back;
+    made.dropped = made.dropped || that.dropped;
+    made.delay = std::max(made.delay, that.delay);
+    made.jitter = std::max(made.jitter, that.jitter);
+    made.lost = std::max(made.lost, that.lost);
+    made.doubled = std::max(made.doubled, that.doubled);
+    made.reordered = std::max(made.reordered, that.reordered);
+    return made;
+}
+
+const link_now &link_table::now(const link_id &which) const {
+    static const link_now well;
+    const auto found = links_.find(number(which));
+    return found == links_.end() ? well : found->second.now;
+}
+
+std::vector<link_id> link_table::all() const {
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[each, entry] : links_)
+        numbers.push_back(each);
+    std::sort(numbers.begin(), numbers.end());
+    std::vector<link_id> made;
+    for (const auto each : numbers)
+        made.push_back(links_.at(each).id);
+    return made;
+}
+
+// From all faults that hold, so that one that ends leaves what others bring.
+link_now link_table::worked_out(const entry &of) const {
+    link_now made;
+    for (const std::size_t each : of.active) {
+        const auto &fault = given_.links[each];
+        const auto add = [&](way_now &to) {
+            const bool drops = fault.kind == link_fault_kind::drop || fault.kind == link_fault_kind::one_way ||
+                               fault.kind == link_fault_kind::partition;
+            to.dropped = to.dropped || drops;
+            to.delay += fault.delay;
+            to.jitter += fault.jitter;
+            if (fault.pace > 0)
+                to.pace = to.pace > 0 ? std::min(to.pace, fault.pace) : fault.pace;
+            to.lost = std::max(to.lost, fault.lost);
+            to.doubled = std::max(to.doubled, fault.doubled);
+            to.reordered = std::max(to.reordered, fault.reordered);
+        };
+        if (fault.there)
+            add(made.there);
+        if (fault.back)
+            add(made.back);
+        made.resets = made.resets || fault.kind == link_fault_kind::reset;
+        made.half_open = made.half_open || fault.kind == link_fault_kind::half_open;
+    }
+    return made;
+}
+
+void link_table::apply(std::size_t fault, bool begins) {
+    for (const std::uint64_t each : touched_.at(fault)) {
+        auto &of = links_.at(each);
+        if (begins)
+            of.active.push_back(fault);
+        else if (const auto at = std::find(of.active.begin(), of.active.end(), fault); at != of.active.end())
+            of.active.erase(at);
+        const link_now before = of.now;
+        of.now = worked_out(of);
+        if (!(before == of.now) && on_change)
+            on_change(of.id, before, of.now);
+    }
+}
+
+} // namespace harrierpass::lab
--- a/src/lab/load/clients.cpp
+++ b/src/lab/load/clients.cpp
@@ -28,6 +28,11 @@
     sum = 0;
     for (const auto &each : given.use_cases)
         uses_.push_back(sum += each.share);
+    // By a seed of their own: the parts are the deployment's, and the same on every day of it.
+    chance drawn(given.proxies.count + 1000);
+    sum = 0;
+    for (index i = 0; i < given.proxies.count && given.load.uneven > 0; ++i)
+        parts_.push_back(sum += drawn.lognormal(1, given.load.uneven));
     slot_length_ = given.length / parts;
     slots_.resize(static_cast<std::size_t>(parts));
 }
@@ -122,7 +127,7 @@
     of.asked_at = now;
     of.now.end = now + use.statement_timeout;
     const index count = given_.proxies.count;
-    const index first = chance_.below(count);
+    const index first = parts_.empty() ? chance_.below(count) : pick(parts_, chance_.part());
     bool sent = false;
     for (index i = 0; i < count && !sent; ++i) {
         of.now.proxy = (first + i) % count;
@@ -206,6 +211,8 @@
         if (served)
             to.times.add(took);
     };
+    if (on_settled)
+        on_settled(of.now.proxy, worth, use.decides.importance);
     const double at = of.intended - began_;
     add(slots_[std::min(slots_.size() - 1, static_cast<std::size_t>(std::max(0.0, at) / slot_length_))]);
     if (at < given_.settle)
--- a/src/lab/load/clients.hpp
+++ b/src/lab/load/clients.hpp
@@ -48,6 +48,9 @@
     std::function<bool(const asking &)> send;
     std::function<void(const asking &)> leave; // the client gives the try up
 
+    // What came of a query: the proxy that had it last, the importance that was served and that was asked for.
+    std::function<void(index proxy, double served, double asked)> on_settled;
+
     // For the link: what came of a try. `cut`: its connection ended with no whole answer.
     void answered(operation op, index attempt, reply how, double come_back, bool body_fits);
 
@@ -90,6 +93,7 @@
     chance chance_, retries_;
     std::vector<double> sums_; // of popularity, by rank
     std::vector<double> uses_; // of shares, by use case
+    std::vector<double> parts_; // of the load, by proxy; empty: all alike
     std::vector<double> floods_;
     double began_ = 0, next_due_ = 0, burst_ = 1, slot_length_ = 1;
     bool over_ = false;
--- a/src/lab/program/main.cpp
+++ b/src/lab/program/main.cpp
@@ -35,7 +35,7 @@
     std::string results, plot, trace;
     socket_options sockets;
     unsigned jobs = 1;
-    bool is_virtual = false, quiet = false;
+    bool is_virtual = false, quiet = false, large = false;
 };
 
 // Where variants are compared, a baseline may break rules: that is told, and is no fault of the first
@@ -120,7 +120,7 @@
             }
             continue;
         }
-        const experiment given = read_experiment(file);
+        const experiment given = read_experiment(file, how.large);
         const auto runs = run_all(how, given, results.is_open() ? &results : nullptr);
         all.insert(all.end(), runs.begin(), runs.end());
         if (!how.plot.empty())
@@ -166,6 +166,7 @@
         to->add_option("--program", how.sockets.program, "the proxy; else the one beside harrierlab");
         to->add_option("--logs", how.sockets.logs, "a folder for the proxies' logs and configurations");
         to->add_flag("--embed", how.sockets.embeds, "proxies as threads of this process");
+        to->add_flag("--large", how.large, "the files' [large] size");
         to->add_flag("--quiet", how.quiet, "no progress");
     };
     auto *const runs = app.add_subcommand("run", "runs experiments and judges them by the rules");
--- a/src/lab/runs/stage.hpp
+++ b/src/lab/runs/stage.hpp
@@ -3,9 +3,12 @@
 // of faults. A link makes it whole: in virtual time, or on sockets.
 #pragma once
 
+#include "lab/judge/figures.hpp"
 #include "lab/judge/referee.hpp"
 #include "lab/judge/result.hpp"
+#include "lab/links/conditions.hpp"
 #include "lab/load/clients.hpp"
+#include "lab/world/list_service.hpp"
 #include "lab/world/membership.hpp"
 #include "lab/world/servers.hpp"
 
@@ -30,6 +33,12 @@
     // The link's part of a fault. All may be left empty.
     std::function<void(index server)> on_broken; // its connections break
     std::function<void(index proxy, bool begins)> on_proxy_kill, on_proxy_pause;
+    std::function<void(index proxy, const fault_spec &fault)> on_proxy_restart; // restart, end, late
+    // Each fault of a server; true: the run has made it otherwise.
+    std::function<bool(const fault_spec &fault, index server, bool begins)> on_server_fault;
+    std::function<void(bool begins)> on_list_kill, on_list_stop;
+    // Its state is the table's; the referee has been told.
+    std::function<void(const link_id &, const link_now &before, const link_now &now)> on_link;
 
     run_result result(const variant_spec &of, const char *mode) const;
 
@@ -38,7 +47,10 @@
     referee judge;
     fleet servers;
     membership list;
+    list_service service;
     clients people;
+    link_table links;
+    fleet_figures figures;
 
 private:
     void set_server(const fault_spec &fault, index server, bool begins);
--- a/src/lab/world/servers.cpp
+++ b/src/lab/world/servers.cpp
@@ -139,6 +139,12 @@
     begin(what, done);
 }
 
+void cache_server::dialled() {
+    const double work = of_.given.fleet.dial_work;
+    if (work > 0 && up())
+        cores_.take([this, work] { return work * factor_ / (speed_ * warmth()); }, [] {});
+}
+
 void cache_server::begin(const job &what, const answer_to &done) {
     const auto work = [this, use = what.use_case] {
         const auto &spec = of_.given.use_cases[use];
--- a/src/lab/world/servers.hpp
+++ b/src/lab/world/servers.hpp
@@ -101,6 +101,8 @@
     void spoilt(double share, bool begins);
     void refuse(bool begins) { draining_ = begins; }
 
+    void dialled(); // a new connection takes a core for its price
+
     void start_cold(double started);
     void fill(std::uint64_t key); // as after a read
     void drop(std::uint64_t key);
--- a/src/lab/world/spec.hpp
+++ b/src/lab/world/spec.hpp
@@ -43,6 +43,8 @@
     bool aside = false;                     // servers tell of a miss, and proxies ask the origin
     bool warm = true;                       // the most popular keys are there at the start
     double idle = 5;                        // s that a server keeps an idle connection
+    double dial_work = 0; // s of a core that a new connection costs a server; its first query waits a way more
+    index hosts = 0;      // processes that the servers are dealt out over; 0: none of their own (sockets)
 };
 
 struct origin_spec {
@@ -63,7 +65,19 @@
     double dial_limit = 0.25;                     // s
 };
 
+enum class list_form : std::uint8_t {
+    agent,  // one beside each proxy, at no cost: what it has counts as told
+    central // one service for all, with workers and a queue
+};
+
 struct list_spec {
+    list_form form = list_form::agent;
+    index workers = 1;         // of the central service
+    double whole_work = 0.05;  // s of a worker for a whole list
+    double watch_work = 0.001; // s of a worker to open a watch
+    index queue = 20;          // calls that wait; beyond, 503
+    double come_back = 5;      // s, the Retry-After of that
+    bool own_process = false;  // on sockets
     double lag = 0.05;      // s until a change is on the list, in the mean
     double notice = 2;      // s until the list leaves out a process that died
     double lose = 0;        // share of watches that are lost
@@ -82,6 +96,7 @@
     index retries = 2; // further tries of a client
     double heed = 1;   // share of clients that wait as Retry-After says
     double impatient = 0.05; // s that others wait
+    double uneven = 0;       // deviation of the logarithm of the proxies' parts of the load
 };
 
 struct proxies_spec {
@@ -92,6 +107,8 @@
     double excess_importance = 0.2;
     index sockets = 1024;
     double memory_mb = 192;
+    bool together = false; // all start when the load does, and know no list; else the load waits for them
+    bool peers = false;    // datagrams between them are allowed
 };
 
 enum class fault_kind : std::uint8_t {
@@ -113,7 +130,14 @@
     flood,       // a tenant's load is `factor` times
     proxy_kill,  // killed outright and started again after `for`
     proxy_pause, // a proxy stands still
-    client_pause // clients stand still, then send what came due meanwhile
+    client_pause, // clients stand still, then send what came due meanwhile
+    proxy_restart, // told to end, and started again, with another configuration, `for` after it has gone
+    proxy_end,     // told to end, for good
+    proxy_late,    // not there before
+    host_kill,     // a process of servers is killed outright and started again after `for`
+    host_stop,     // it stands still
+    list_kill,     // the list service is killed and started again
+    list_stop      // it stands still
 };
 
 struct fault_spec {
@@ -122,10 +146,38 @@
     double every = 0;           // s from one beginning to the next; 0: once
     std::vector<index> servers; // numbers, also of those that join
     std::vector<index> proxies; // numbers
+    std::vector<index> hosts;   // numbers of servers' processes
     index use_case = none, tenant = none;
     double factor = 1;
 };
 
+// The ends that connections and datagrams run between. The near end connects.
+enum class link_kind : std::uint8_t { client_proxy, proxy_server, proxy_list, proxy_proxy };
+
+enum class link_fault_kind : std::uint8_t {
+    drop,      // silent: what is sent is held, new connections never come up
+    one_way,   // the same in one direction only
+    reset,     // connections break at both ends; for as long as it lasts new ones break at once
+    half_open, // the far end's connections break unseen by the near end, which hears nothing until the end
+    slow,      // `delay` and `jitter` more, and a `pace`
+    datagrams, // parts of them are `lost`, `doubled`, `reordered`
+    partition  // all that crosses the border of a group is dropped
+};
+
+struct link_fault_spec {
+    link_fault_kind kind = link_fault_kind::drop;
+    double at = 0, lasts = 0, every = 0; // s, as a fault's
+    std::vector<link_kind> between;      // empty: all
+    std::vector<index> proxies, servers; // the ends that it touches, or the group's; empty: all (group: none)
+    double share = 1;                    // of the pairs, by the run's seed
+    bool there = true, back = true;      // directions: from the near end, from the far end
+    bool list = false;                   // is in the group, too
+    bool clients = false;                // are cut off from the group's proxies, too
+    double delay = 0, jitter = 0;        // s
+    double pace = 0;                     // bytes a second; 0: any
+    double lost = 0, doubled = 0, reordered = 0; // shares of datagrams
+};
+
 enum class decider : std::uint8_t { module, random, least_of_two, plain_ring };
 // A rule that the lab's own stand-in proxy breaks on purpose, to show that the referee sees it.
 enum class plant : std::uint8_t {
@@ -160,12 +212,14 @@
     std::vector<use_case_spec> use_cases;
     std::vector<tenant_spec> tenants;
     std::vector<fault_spec> faults;
+    std::vector<link_fault_spec> links;
     std::vector<variant_spec> variants;
 };
 
-// Throws bad_experiment.
-experiment read_experiment(const std::string &path);
-experiment parse_experiment(const std::string &text, const std::string &name);
+// Throws bad_experiment. `base = "FILE"` in a file lays it over that other one, beside it; its part [large] is
+// laid over both where that size is asked for.
+experiment read_experiment(const std::string &path, bool large = false);
+experiment parse_experiment(const std::string &text, const std::string &name, bool large = false);
 
 // What each proxy of it is told; `proxy` is its number.
 settings settings_for(const experiment &given, index proxy);
@@ -175,6 +229,12 @@
 index group_of(const experiment &given, index use_case, index server);
 
 const char *name_of(fault_kind kind);
+const char *name_of(link_fault_kind kind);
+const char *name_of(link_kind kind);
+// The process of servers that one belongs to, where there are any.
+index host_of(const experiment &given, index server);
+// Whether a fault has an end of its own besides its beginning.
+bool has_end(const fault_spec &fault);
 const char *name_of(decider by);
 
 } // namespace harrierpass::lab
