--- /dev/null
+++ b/src/lab/judge/merge.hpp
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+// What several processes see, put into one order before it is judged. Each event has the time at which its
+// process saw it, by the machine's monotonic clock; it is judged once every source has been heard of at a
+// later time or is gone, so that one that arrives late still takes its place. A source that stands still
+// holds the judging up, not the run.
+#pragma once
+
+#include "lab/world/timeline.hpp"
+#include "lab/world/witness.hpp"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace harrierpass::lab {
+
+// One event as it is written down and sent: of a fixed size, so that what a killed process had written is
+// whole or is not there. Each kind uses the fields as witness has them.
+struct seen {
+    enum class kind : std::uint8_t {
+        asked,
+        answered,
+        unanswered,
+        settled,
+        untaken,
+        meet,
+        received,
+        over,
+        ran,
+        fell,
+        died,
+        told,
+        restarted,
+        paused,
+        link_trouble
+    };
+    kind is = kind::asked;
+    std::uint8_t small = 0, flag = 0;
+    index a = 0, b = 0, c = 0;
+    operation op = 0;
+    double x = 0;    // s: an end, or when it was sent
+    double when = 0; // s
+};
+
+void play(const seen &event, witness &to);
+
+// Takes down what a process sees, and hands each event on at once.
+class writer : public witness {
+public:
+    writer(const timeline &clock, std::function<void(const seen &)> to) : clock_(clock), to_(std::move(to)) {}
+    void asked(operation op, index attempt, index proxy, index use_case, double end) override;
+    void answered(operation op, index attempt, reply how, bool body_fits) override;
+    void unanswered(operation op, index attempt) override;
+    void settled(operation op) override;
+    void untaken(operation op, index attempt) override;
+    void meet(operation op, index attempt, index use_case) override;
+    void received(operation op, index attempt, index server, double sent) override;
+    void over(operation op, index attempt, index server) override;
+    void ran(operation op, index attempt, index server) override;
+    void fell(index server) override;
+    void died(index server) override;
+    void told(index proxy, index server, listing as) override;
+    void restarted(index proxy, bool killed) override;
+    void paused(index proxy, bool begins) override;
+    void link_trouble(link_kind kind, index near, index far, bool begins) override;
+
+private:
+    void note(seen what);
+    const timeline &clock_;
+    std::function<void(const seen &)> to_;
+};
+
+class event_merge {
+public:
+    // `clock` is the judge's own, and is moved to each event's time.
+    event_merge(timeline &clock, witness &judge) : clock_(clock), judge_(judge) {}
+
+    std::size_t add_source();
+    void put(std::size_t source, const seen &event); // its time is news of the source, too
+    void heard(std::size_t source, double when);     // it has seen nothing else up to then
+    void gone(std::size_t source);                   // nothing more comes
+    void returns(std::size_t source, double when);   // but does, from then on
+    void judge();                                    // all that has its place by now
+    std::size_t waiting() const { return events_.size(); }
+
+private:
+    timeline &clock_;
+    witness &judge_;
+    std::vector<double> heard_; // by source
+    // By time, then source, then the order in which a source told it: equal times do not hang on the way here.
+    std::map<std::tuple<double, std::size_t, std::uint64_t>, seen> events_;
+    std::uint64_t order_ = 0;
+};
+
+} // namespace harrierpass::lab
--- a/src/lab/judge/referee.cpp
+++ b/src/lab/judge/referee.cpp
@@ -133,6 +133,8 @@
 
 void referee::received(operation op, index attempt, index server, double sent) {
     ++executions_;
+    if (on_received)
+        on_received(server);
     record *const of = find(op);
     open_try *const one = of != nullptr ? find(*of, attempt) : nullptr;
     if (one == nullptr) // of a process that holds it longer than anybody remembers
@@ -203,6 +205,13 @@
         stories_.push_back(text.str());
 }
 
+void referee::died(index server) {
+    for (auto &[op, of] : records_)
+        for (auto &one : of.tries)
+            if (one.out > 0 && one.out_at == server)
+                one.out = 0;
+}
+
 void referee::told(index proxy, index server, listing as) {
     auto &known = place(place(told_, proxy), server);
     if (known.as == listing::ready || as == listing::ready) // the first word of an end counts
@@ -210,12 +219,12 @@
     known.as = as;
 }
 
-void referee::restarted(index proxy) {
+void referee::restarted(index proxy, bool killed) {
     for (auto &each : place(told_, proxy)) // the next process has heard of nothing
         each = {};
     for (auto &[op, of] : records_)
         for (auto &one : of.tries)
-            one.excused = one.excused || one.proxy == proxy;
+            one.excused = one.excused || (killed && one.proxy == proxy);
 }
 
 void referee::paused(index proxy, bool begins) {
--- a/src/lab/judge/referee.hpp
+++ b/src/lab/judge/referee.hpp
@@ -22,6 +22,7 @@
 
 #include <array>
 #include <deque>
+#include <functional>
 #include <iosfwd>
 #include <map>
 #include <string>
@@ -59,13 +60,13 @@
     void over(operation op, index attempt, index server) override;
     void ran(operation op, index attempt, index server) override;
     void fell(index server) override;
+    void died(index server) override;
     void told(index proxy, index server, listing as) override;
+    void restarted(index proxy, bool killed) override;
+    void paused(index proxy, bool begins) override;
+    void link_trouble(link_kind kind, index near, index far, bool begins) override;
 
-    void restarted(index proxy);           // killed: what it held is its clients' to try again
-    void paused(index proxy, bool begins); // stands still by a fault: it cannot answer in time
-    // A link between two ends is in trouble by a fault: what it held, and what an end could not see, is nobody's
-    // fault while that lasts and shortly after.
-    void link_trouble(link_kind kind, index near, index far, bool begins);
+    std::function<void(index server)> on_received; // an execution came to it
 
     std::uint64_t broken(rule which) const { return broken_[static_cast<std::size_t>(which)]; }
     std::uint64_t broken() const;
--- a/src/lab/load/client_port.hpp
+++ b/src/lab/load/client_port.hpp
@@ -14,6 +14,7 @@
 
     // Where a proxy is, from now on; none: it is not there, and what it had is cut.
     void place(index proxy, const std::optional<address> &at);
+    void avoid(index proxy) { proxies_.at(proxy).at.reset(); } // nothing new goes there; what is open stays
     std::size_t open() const { return open_.size(); }
     std::size_t dials() const { return dials_; }
 
--- a/src/lab/loop/loop.hpp
+++ b/src/lab/loop/loop.hpp
@@ -12,7 +12,9 @@
 
 class loop {
 public:
-    loop();
+    // `offset`: of a loop in another process whose clock this one is to agree with; 0: of its own.
+    explicit loop(double offset = 0);
+    double offset() const { return offset_; } // Unix time less the machine's monotonic clock, s
     ~loop();
     loop(const loop &) = delete;
     loop &operator=(const loop &) = delete;
--- a/src/lab/processes/fleet_ports.cpp
+++ b/src/lab/processes/fleet_ports.cpp
@@ -1,364 +1,373 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "lab/processes/fleet_ports.hpp"
 
-#include "router/router.hpp"
+#include "lab/processes/answers.hpp"
+#include "lab/world/ids.hpp"
 
 #include <algorithm>
 #include <array>
-#include <cerrno>
-#include <charconv>
-#include <cstring>
+#include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
-#include <sys/epoll.h>
-#include <sys/socket.h>
-#include <system_error>
+#include <unistd.h>
 
 namespace harrierpass::lab {
 namespace {
 
-constexpr double tidy_period = 0.5;   // s between looks for idle connections
-constexpr std::size_t plug_count = 4; // connections that fill a backlog of nothing
-constexpr double most_watch = 60;     // s that a watch may wait
+constexpr std::uint32_t part_net = 0x7f780000; // 127.120.0.0 and on: servers and lists in processes
+constexpr double judge_period = 0.05;          // s between looks at what can be judged
+constexpr std::size_t spare = 200;             // descriptors for the rest of this process
 
-std::string text_answer(int status, std::string_view fields, std::string_view body) {
-    std::string made = "HTTP/1.1 " + std::to_string(status);
-    made.append(status == 200 ? " OK\r\n" : " No\r\n").append(fields);
-    return made.append("Content-Length: ")
-        .append(std::to_string(body.size()))
-        .append("\r\n\r\n")
-        .append(body);
-}
-
-// The number behind a name in a target such as "/catalog/members?since=41&timeout_ms=20000".
-long number_in(std::string_view target, std::string_view name) {
-    const auto at = target.find(name);
-    long value = -1;
-    if (at != std::string_view::npos)
-        std::from_chars(target.data() + at + name.size(), target.data() + target.size(), value);
-    return value;
-}
-
-tcp_socket must_listen(int port) {
-    const auto where = parse_address("127.0.0.1:" + std::to_string(port));
-    tcp_socket made = listen_on(*where);
-    if (!made)
-        throw std::system_error(errno, std::generic_category(),
-                                "cannot listen on 127.0.0.1:" + std::to_string(port));
-    return made;
+std::string part_address(index number, int port) {
+    const std::uint32_t where = part_net + (static_cast<std::uint32_t>(::getpid() % 64) << 16) + number + 1;
+    std::string text;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        text += std::to_string((where >> shift) & 255) + (shift > 0 ? "." : ":");
+    return text + std::to_string(port);
 }
 
 } // namespace
 
-// ---- A server
-
-server_port::server_port(loop &in, stage &of, index number, int port)
-    : loop_(in), stage_(of), number_(number) {
-    listening_ = must_listen(port);
-    at_ = local_address(listening_);
-    listening_.close();
-    if (number_ < stage_.servers.size()) {
-        life_ = stage_.servers.at(number_).life();
-        stage_.servers.at(number_).on_change = [this] { follow(); };
+fleet_ports::fleet_ports(loop &in, stage &of, const fleet_places &where, const part_options &parts)
+    : loop_(in), stage_(of), folder_(parts.folder) {
+    const bool processes = !parts.self.empty();
+    const bool serves_here = !processes || of.given.fleet.hosts == 0;
+    const bool lists_here = !processes || !of.given.list.own_process;
+    const index count = of.servers.size() + (of.given.fleet.aside ? 1 : 0);
+    // Parts are at addresses of their own, under one port that is free at this moment: what is dialled from
+    // here cannot take a place that a killed part comes back to.
+    const tcp_socket free = must_listen(*parse_address(part_address(60000, 0)));
+    const std::string chosen = to_text(local_address(free));
+    const int port = std::stoi(chosen.substr(chosen.rfind(':') + 1));
+    where_ = [this](index proxy, index server) {
+        const auto link = server_links_.find({proxy, server});
+        return link == server_links_.end() ? hosts_.at(server) : link->second;
+    };
+    for (index i = 0; i < count; ++i) {
+        if (!serves_here) {
+            hosts_.push_back(part_address(i, port));
+            continue;
+        }
+        servers_.push_back(std::make_unique<server_port>(
+            in, of.servers, i, loopback(where.first_server > 0 ? where.first_server + static_cast<int>(i) : 0)));
+        servers_.back()->on_connection = [this](index server, bool begins) {
+            if (begins) {
+                stage_.figures.dialled(server, true);
+                stage_.figures.opened(server);
+            } else {
+                stage_.figures.closed(server);
+            }
+        };
+        hosts_.push_back(servers_.back()->at());
+    }
+    hosts_.resize(of.servers.size() + 1);
+    for (index i = 0; i < of.given.proxies.count; ++i) {
+        if (!lists_here) {
+            list_addresses_.push_back(*parse_address(part_address(of.servers.size() + 1 + i, port)));
+            continue;
+        }
+        lists_.push_back(std::make_unique<list_port>(
+            in, of.given, of.list, of.service, of.sees, i,
+            loopback(where.first_list > 0 ? where.first_list + static_cast<int>(i) : 0), where_));
+        lists_.back()->on_call = [this](list_call as, std::size_t bytes) { stage_.figures.called(as, bytes); };
+        list_addresses_.push_back(*parse_address(lists_.back()->at()));
     }
-    follow();
-    loop_.clock.after(tidy_period, [this, here = std::weak_ptr(here_)] {
-        if (!here.expired())
-            tidy();
-    });
+    of.list.on_change = [this](const membership::member &) { stage_.service.changed(); };
+    killed_.resize(of.given.fleet.hosts + 1);
+    stopped_.resize(of.given.fleet.hosts + 1);
+    of.on_list_stop = [this](bool begins) { on_list(false, begins); };
+    of.on_list_kill = [this](bool begins) { on_list(true, begins); };
+    make_links();
+    if (processes)
+        make_parts(parts);
 }
 
-server_port::~server_port() {
-    if (listening_)
-        loop_.forget(listening_.get());
-    if (number_ < stage_.servers.size())
-        stage_.servers.at(number_).on_change = {};
+fleet_ports::~fleet_ports() {
+    stage_.on_model = {};
+    stage_.on_link = {};
 }
 
-void server_port::listen() {
-    listening_ = listen_on(at_);
-    if (!listening_)
-        throw std::system_error(errno, std::generic_category(),
-                                "cannot listen on " + to_text(at_) + " again");
-    loop_.watch(listening_.get(), EPOLLIN, [this](std::uint32_t) { accept(); });
-}
+// ---- Links
 
-void server_port::follow() {
-    const bool is_server = number_ < stage_.servers.size();
-    const bool up = !is_server || stage_.servers.at(number_).up();
-    const bool silent = is_server && stage_.servers.at(number_).silent();
-    if (is_server && (life_ != stage_.servers.at(number_).life() || !up) && !silent) {
-        life_ = stage_.servers.at(number_).life();
-        const auto all = std::move(open_);
-        open_.clear();
-        for (const auto &[tag, each] : all) {
-            over(tag);
-            each->end(true);
+void fleet_ports::make_links() {
+    if (stage_.given.proxies.peers) {
+        for (index i = 0; i < stage_.given.proxies.count; ++i) {
+            // Its port is any that is free now; nobody else in the run binds at this address.
+            const tcp_socket probe(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+            const address at = *parse_address(part_address(61000 + i, 0));
+            if (!probe || ::bind(probe.get(), reinterpret_cast<const sockaddr *>(&at.where), at.size) != 0)
+                throw std::system_error(errno, std::generic_category(), "no address for a proxy's datagrams");
+            peers_.push_back(local_address(probe));
         }
+        datagrams_ = std::make_unique<datagram_relay>(loop_, stage_.links, peers_, 41);
     }
-    if (!up && !silent && listening_) {
-        plug(false);
-        loop_.forget(listening_.get());
-        listening_.close();
+    relay_ = std::make_unique<relay>(loop_, stage_.links, 43);
+    for (const auto &each : stage_.links.all()) {
+        if (each.kind == link_kind::proxy_server)
+            server_links_[{each.near, each.far}] =
+                to_text(relay_->open(each, *parse_address(hosts_.at(each.far))));
+        else if (each.kind == link_kind::proxy_list)
+            list_links_[each.near] = to_text(relay_->open(each, list_addresses_.at(each.near)));
+        linked_ += each.kind != link_kind::proxy_proxy;
     }
-    if (up && !listening_)
-        listen();
-    if (listening_)
-        plug(silent);
-    std::vector<std::shared_ptr<channel>> all; // one that was closed meanwhile leaves open_
-    for (const auto &[tag, each] : open_)
-        all.push_back(each);
-    for (const auto &each : all)
-        each->stand(silent);
+    stage_.on_link = [this](const link_id &which, const link_now &before, const link_now &now) {
+        relay_->changed(which, before, now);
+    };
+    stage_.on_model = [this](const fault_spec &fault, index server, bool begins) {
+        const bool as_a_host = fault.kind == fault_kind::host_kill || fault.kind == fault_kind::host_stop;
+        const index host = host_of(stage_.given, server);
+        if (host < hosts_parts_.size() && !as_a_host) {
+            part_message made;
+            made.is = part_message::kind::fault;
+            made.small = static_cast<std::uint8_t>(fault.kind);
+            made.flag = begins;
+            made.a = server;
+            made.b = fault.use_case;
+            made.x = fault.factor;
+            hosts_parts_[host]->send(made);
+        }
+        if (!as_a_host || begins)
+            follow(server);
+    };
+    for (index i = 0; i < stage_.servers.size(); ++i)
+        follow(i);
 }
 
-// A machine that is gone accepts nothing and refuses nothing: with its backlog full, the system here drops
-// what would connect.
-void server_port::plug(bool begins) {
-    if (begins == !plugs_.empty())
-        return;
-    if (!begins) {
-        plugs_.clear();
-        ::listen(listening_.get(), 128);
-        return;
-    }
-    loop_.change(listening_.get(), 0);
-    ::listen(listening_.get(), 0);
-    for (std::size_t i = 0; i < plug_count; ++i)
-        plugs_.push_back(dial_soon(at_));
+// A relay cannot refuse or be silent by itself as a far end is: the listener before it does what that would.
+void fleet_ports::follow(index server) {
+    const auto &of = stage_.servers.at(server);
+    relay_->far_end(link_kind::proxy_server, server,
+                    of.silent() ? far_state::silent
+                    : of.up()   ? far_state::up
+                                : far_state::refuses);
 }
 
-void server_port::accept() {
-    if (!plugs_.empty())
-        return;
-    loop_.change(listening_.get(), EPOLLIN);
-    address peer;
-    for (tcp_socket one; (one = accept_on(listening_, peer));) {
-        const auto made = std::make_shared<channel>(loop_, std::move(one), http_reader::side::request);
-        made->tag = next_++;
-        made->used = loop_.clock.now();
-        made->on_message = [this](const auto &on, const http_reader &asked) { message(on, asked); };
-        made->on_end = [this](const auto &on, channel::ending) {
-            over(on->tag);
-            open_.erase(on->tag);
-        };
-        made->on_gone = [this](const auto &on) { over(on->tag); };
-        open_[made->tag] = made;
-        made->start(false);
-    }
+std::string fleet_ports::list_at(index proxy) const {
+    const auto link = list_links_.find(proxy);
+    return link == list_links_.end() ? to_text(list_addresses_.at(proxy)) : link->second;
 }
 
-void server_port::over(std::uint64_t tag) {
-    if (const auto found = in_hand_.find(tag); found != in_hand_.end()) {
-        stage_.judge.over(found->second.op, found->second.attempt, number_);
-        in_hand_.erase(found);
-    }
+address fleet_ports::proxy_at(index proxy, const address &itself) {
+    const link_id which{link_kind::client_proxy, 0, proxy};
+    if (!stage_.links.names(which))
+        return itself;
+    const auto known = proxy_links_.find(proxy);
+    if (known == proxy_links_.end())
+        return proxy_links_[proxy] = relay_->open(which, itself);
+    relay_->move(which, itself);
+    return known->second;
 }
 
-void server_port::message(const std::shared_ptr<channel> &on, const http_reader &asked) {
-    const auto &head = asked.head();
-    on->used = loop_.clock.now();
-    if (head.target == "/ping") {
-        if (number_ < stage_.servers.size() && !stage_.servers.at(number_).answers_probes())
-            return;
-        return on->send(text_answer(200, {}, {}));
-    }
-    const std::string_view path = head.target.substr(1, head.target.find('?') - 1);
-    std::string_view name = head.value("X-Class");
-    if (name.empty())
-        name = path.substr(0, path.find('/'));
-    const auto &uses = stage_.given.use_cases;
-    const auto use =
-        std::find_if(uses.begin(), uses.end(), [&](const use_case_spec &each) { return each.name == name; });
-    const std::string id(head.value("X-Request-Id"));
-    if (id.empty() || use == uses.end())
-        return on->send(text_answer(id.empty() ? 404 : 400, {}, {}));
-    const auto slash = path.rfind('/');
-    const std::string key(slash == std::string_view::npos ? std::string_view{} : path.substr(slash + 1));
-    job what;
-    std::tie(what.op, what.attempt) = from_id(id);
-    what.use_case = static_cast<index>(use - uses.begin());
-    what.write = head.method == "PUT";
-    what.keyed = !key.empty();
-    const auto [end, bad] = std::from_chars(key.data(), key.data() + key.size(), what.key);
-    if (bad != std::errc{} || end != key.data() + key.size())
-        what.key = ring_hash(key);
-    stage_.judge.meet(what.op, what.attempt, what.use_case);
-    stage_.judge.received(what.op, what.attempt, number_, loop_.clock.now());
-    in_hand_[on->tag] = {what.op, what.attempt};
-    const auto done = [this, here = std::weak_ptr(here_), weak = std::weak_ptr(on), key, id,
-                       write = what.write](const result &with) {
-        const auto still = weak.lock();
-        if (!here.expired() && still && still->open())
-            finish(still, write, key, id, with);
-    };
-    if (number_ < stage_.servers.size())
-        stage_.servers.at(number_).receive(what, done);
-    else
-        stage_.servers.receive_at_origin(what, done);
+std::size_t fleet_ports::descriptors(const experiment &given, std::size_t links) {
+    // A listener and some connections of both sides a link; a pipe, a list and kept connections a proxy.
+    return spare + links * 6 + std::size_t{given.proxies.count} * 24 + std::size_t{given.fleet.servers} * 24;
 }
 
-void server_port::finish(const std::shared_ptr<channel> &on, bool write, std::string_view key,
-                         std::string_view id, const result &with) {
-    static constexpr std::array<std::string_view, 4> notes = {"", "X-Cache: hit\r\n", "X-Cache: miss\r\n",
-                                                              "X-Cache: pending\r\n"};
-    // Noise, a head with a length that is none, a length that never comes.
-    static constexpr std::array<std::string_view, 3> noise = {
-        "\x01\x02\x03 garble\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\nxyz",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxyz"};
-    on->used = loop_.clock.now();
-    over(on->tag);
-    const std::string_view note = notes[static_cast<std::size_t>(with.says)];
-    switch (with.is) {
-    case result::kind::completed:
-        return on->send(text_answer(200, note,
-                                    "{\"key\":\"" + std::string(key) + "\",\"query\":\"" + std::string(id) +
-                                        "\",\"server\":\"" +
-                                        (number_ < stage_.servers.size() ? server_id(number_) : "origin") +
-                                        (write ? "\",\"written\":true}\n" : "\"}\n")));
-    case result::kind::error:
-        return on->send(text_answer(500, {}, {}));
-    case result::kind::queue_full:
-        return on->send(text_answer(503, "X-Not-Run: 1\r\n", {}));
-    case result::kind::missed:
-        return on->send(text_answer(404, note, {}));
-    case result::kind::spoilt:
-        return on->send(noise[spoilt_++ % noise.size()]);
-    }
-}
+// ---- Parts
 
-void server_port::tidy() {
-    std::vector<std::shared_ptr<channel>> idle;
-    const bool silent = number_ < stage_.servers.size() && stage_.servers.at(number_).silent();
-    for (const auto &[tag, each] : open_)
-        if (!silent && !in_hand_.contains(tag) && !each->heard() &&
-            each->used + stage_.given.fleet.idle < loop_.clock.now())
-            idle.push_back(each);
-    for (const auto &each : idle) {
-        each->end(false);
-        open_.erase(each->tag);
-    }
-    loop_.clock.after(tidy_period, [this, here = std::weak_ptr(here_)] {
-        if (!here.expired())
-            tidy();
-    });
+std::string fleet_ports::setup(const std::string &role, index host, bool cold) const {
+    nlohmann::json made = {{"role", role},
+                           {"experiment", folder_ + "/experiment.toml"},
+                           {"offset", loop_.offset()},
+                           {"seed", 1000 + host},
+                           {"host", host},
+                           {"cold", cold},
+                           {"addresses", hosts_},
+                           {"lists", nlohmann::json::array()},
+                           {"links", nlohmann::json::array()}};
+    for (const auto &each : list_addresses_)
+        made["lists"].push_back(to_text(each));
+    for (const auto &[pair, at] : server_links_)
+        made["links"].push_back({pair.first, pair.second, at});
+    return made.dump();
 }
 
-// ---- Discovery
+void fleet_ports::write_setup(const std::string &name, const std::string &text) const {
+    std::ofstream(folder_ + "/" + name + ".json") << text;
+}
 
-list_port::list_port(loop &in, stage &of, index proxy, int port, const std::vector<std::string> &hosts)
-    : loop_(in), stage_(of), proxy_(proxy), hosts_(hosts), listening_(must_listen(port)),
-      at_(local_address(listening_)), chance_(proxy + 17) {
-    loop_.watch(listening_.get(), EPOLLIN, [this](std::uint32_t) { accept(); });
+void fleet_ports::make_parts(const part_options &parts) {
+    if (stage_.given.fleet.hosts == 0 && !stage_.given.list.own_process)
+        return;
+    std::ofstream(folder_ + "/experiment.toml") << stage_.given.whole;
+    const auto made = [&](const std::string &name, const std::string &text) {
+        write_setup(name, text);
+        auto part = std::make_unique<part_process>(
+            loop_, stage_.events,
+            std::vector<std::string>{parts.self, "part", folder_ + "/" + name + ".json"},
+            folder_ + "/" + name + ".log");
+        part->on_death = [this] { ++deaths_; };
+        return part;
+    };
+    for (index host = 0; host < stage_.given.fleet.hosts; ++host) {
+        hosts_parts_.push_back(made("servers" + std::to_string(host), setup("servers", host, false)));
+        serve(*hosts_parts_.back(), host);
+        hosts_parts_.back()->start();
+    }
+    stage_.on_host = [this](index host, fault_kind kind, bool begins) { on_host(host, kind, begins); };
+    if (stage_.given.fleet.hosts > 0)
+        stage_.servers.on_wrote = [this](std::uint64_t key) {
+            part_message told;
+            told.is = part_message::kind::void_copy;
+            told.key = key;
+            for (const auto &each : hosts_parts_)
+                each->send(told);
+        };
+    if (stage_.given.list.own_process) {
+        list_part_ = made("list", setup("list", 0, false));
+        list_part_->on_message = [this](const part_message &what) {
+            if (what.is == part_message::kind::call)
+                stage_.figures.called(static_cast<list_call>(what.small), what.number);
+        };
+        stage_.list.on_change = [this](const membership::member &what) {
+            part_message told;
+            told.is = part_message::kind::publish;
+            told.small = static_cast<std::uint8_t>(what.state);
+            told.a = what.server;
+            told.x = what.started;
+            told.number = what.revision;
+            list_part_->send(told);
+        };
+        list_part_->start();
+        tell_list();
+    }
+    const auto again = [this](const auto &self) -> void {
+        stage_.events.heard(stage_.own_events, loop_.clock.now());
+        stage_.events.judge();
+        loop_.clock.after(judge_period, [self] { self(self); });
+    };
+    again(again);
 }
 
-list_port::~list_port() {
-    loop_.forget(listening_.get());
+// What the origin and its marks are to all servers is here, wherever they are.
+void fleet_ports::serve(part_process &part, index host) {
+    part.on_message = [this, &part](const part_message &what) {
+        part_message made;
+        made.number = what.number;
+        if (what.is == part_message::kind::fetch)
+            return stage_.servers.source().fetch([&part, made](bool there) mutable {
+                made.is = part_message::kind::fetched;
+                made.flag = there;
+                part.send(made);
+            });
+        if (what.is == part_message::kind::write) {
+            const job asked{what.event.op, what.event.a, what.event.b, true, what.flag != 0, what.key, none};
+            return stage_.servers.write(asked, what.a, [&part, made](bool seen, bool there) mutable {
+                made.is = part_message::kind::written;
+                made.flag = seen;
+                made.flag2 = there;
+                part.send(made);
+            });
+        }
+        if (what.is == part_message::kind::connection) {
+            if (what.flag != 0) {
+                stage_.figures.dialled(what.a, true);
+                stage_.figures.opened(what.a);
+            } else {
+                stage_.figures.closed(what.a);
+            }
+        }
+        if (what.is == part_message::kind::event && what.event.is == seen::kind::fell) {
+            stage_.servers.at(what.event.a).fall();
+            follow(what.event.a);
+        }
+    };
+    part.on_ready = [this, &part, host] {
+        for (index i = 0; i < stage_.servers.size(); ++i) {
+            if (host_of(stage_.given, i) != host)
+                continue;
+            // What the script has made of it meanwhile: a new process knows nothing of it.
+            const bool up = stage_.servers.at(i).up(), from_start = i < stage_.given.fleet.servers;
+            if (up != from_start) {
+                part_message made;
+                made.is = part_message::kind::fault;
+                made.small = static_cast<std::uint8_t>(up ? fault_kind::join : fault_kind::crash);
+                made.flag = 1;
+                made.a = i;
+                part.send(made);
+            }
+            follow(i);
+        }
+    };
 }
 
-void list_port::accept() {
-    address peer;
-    for (tcp_socket one; (one = accept_on(listening_, peer));) {
-        const auto made = std::make_shared<channel>(loop_, std::move(one), http_reader::side::request);
-        made->tag = next_++;
-        made->on_message = [this](const auto &on, const http_reader &asked) { message(on, asked); };
-        made->on_end = [this](const auto &on, channel::ending) {
-            watching_.erase(on->tag);
-            open_.erase(on->tag);
-        };
-        open_[made->tag] = made;
-        made->start(false);
+void fleet_ports::on_host(index host, fault_kind kind, bool begins) {
+    auto &part = *hosts_parts_.at(host);
+    if (kind == fault_kind::host_stop) {
+        stopped_[host] += begins ? 1 : static_cast<index>(-1);
+        return part.stop(stopped_[host] > 0);
+    }
+    if (begins && killed_[host]++ == 0) {
+        const double before = loop_.clock.now();
+        part.kill();
+        // Later than all that it had written, and earlier than what anybody does for its death.
+        seen died;
+        died.is = seen::kind::died;
+        died.when = std::max(before, part.last()) + 1e-7;
+        for (index i = 0; i < stage_.servers.size(); ++i)
+            if (host_of(stage_.given, i) == host) {
+                died.a = i;
+                stage_.events.put(stage_.own_events, died);
+            }
+    } else if (!begins && --killed_[host] == 0) {
+        write_setup("servers" + std::to_string(host), setup("servers", host, true));
+        part.start();
     }
 }
 
-void list_port::message(const std::shared_ptr<channel> &on, const http_reader &asked) {
-    const auto target = asked.head().target;
-    if (!target.starts_with("/catalog/members"))
-        return on->send(text_answer(404, {}, {}));
-    if (!stage_.list.answers() || chance_.happens(stage_.given.list.lose))
-        return; // silent, or lost on its way
-    const long since = number_in(target, "since=");
-    if (since < 0) {
-        std::vector<membership::member> here;
-        for (const auto &each : stage_.list.all())
-            if (each.state != listing::gone)
-                here.push_back(each);
-        return tell(on, true, here);
+void fleet_ports::tell_list() {
+    for (const auto &each : stage_.list.all()) {
+        part_message told;
+        told.is = part_message::kind::load;
+        told.small = static_cast<std::uint8_t>(each.state);
+        told.a = each.server;
+        told.x = each.started;
+        told.number = each.revision;
+        list_part_->send(told);
     }
-    const auto changed = stage_.list.since(static_cast<std::uint64_t>(since));
-    if (!changed.empty())
-        return tell(on, false, changed);
-    const double wait =
-        std::clamp(static_cast<double>(number_in(target, "timeout_ms=")) / 1000, 0.0, most_watch);
-    const auto tag = on->tag;
-    const auto count = on->messages;
-    watching_[tag] = {on, static_cast<std::uint64_t>(since)};
-    loop_.clock.after(wait, [this, here = std::weak_ptr(here_), tag, count] {
-        if (here.expired())
-            return;
-        const auto found = watching_.find(tag);
-        if (found == watching_.end() || found->second.on->messages != count || !stage_.list.answers())
-            return;
-        const auto to = found->second.on;
-        watching_.erase(found);
-        tell(to, false, {});
-    });
 }
 
-void list_port::changed() {
-    if (!stage_.list.answers())
-        return;
-    const auto all = std::move(watching_);
-    watching_.clear();
-    for (const auto &[tag, each] : all)
-        tell(each.on, false, stage_.list.since(each.since));
+// In one loop with the rest, a list service that is killed or stopped is silent; as a process it is the real
+// thing.
+void fleet_ports::on_list(bool kills, bool begins) {
+    if (!list_part_)
+        return stage_.list.silent(begins);
+    auto &held = kills ? killed_.back() : stopped_.back();
+    held += begins ? 1 : static_cast<index>(-1);
+    if (!kills)
+        return list_part_->stop(held > 0);
+    if (begins && held == 1) {
+        list_part_->kill();
+    } else if (!begins && held == 0) {
+        list_part_->start();
+        tell_list();
+    }
 }
 
-std::string list_port::entry(const stage &of, const membership::member &each, const std::string &host) {
-    static constexpr std::array<const char *, 3> phases = {"active", "leaving", "left"};
-    const bool is_origin = each.server + 1 == of.list.all().size();
-    nlohmann::json made = {{"id", is_origin ? "origin" : server_id(each.server)},
-                           {"host_port", host},
-                           {"locality", of.given.fleet.zones[zone_of(of.given, each.server)]},
-                           {"flavor", is_origin ? "origin" : "cache"},
-                           {"cell", each.server},
-                           {"phase", phases[static_cast<std::size_t>(each.state)]},
-                           {"size", 1.0},
-                           {"up_since_ms", static_cast<std::uint64_t>(each.started * 1000)}};
-    return made.dump();
+bool fleet_ports::ready() const {
+    return std::all_of(hosts_parts_.begin(), hosts_parts_.end(),
+                       [](const auto &each) { return each->ready(); }) &&
+           (!list_part_ || list_part_->ready() || killed_.back() > 0);
 }
 
-void list_port::tell(const std::shared_ptr<channel> &to, bool whole,
-                     const std::vector<membership::member> &members) {
-    std::string text = "{\"revision\":" + std::to_string(stage_.list.revision()) +
-                       ",\"complete\":" + (whole ? "true" : "false") + ",\"members\":[";
-    for (const auto &each : members)
-        text += (text.back() == '[' ? "" : ",") + entry(stage_, each, hosts_[each.server]);
-    to->send(text_answer(200, {}, text + "]}"));
-    if (whole)
-        for (const auto &each : stage_.list.all())
-            stage_.judge.told(proxy_, each.server, each.state);
-    for (const auto &each : members)
-        stage_.judge.told(proxy_, each.server, each.state);
+void fleet_ports::end() {
+    for (const auto &each : hosts_parts_)
+        each->end();
+    if (list_part_)
+        list_part_->end();
 }
 
-// ---- All of it
+bool fleet_ports::ended() const {
+    return std::none_of(hosts_parts_.begin(), hosts_parts_.end(),
+                        [](const auto &each) { return each->runs(); }) &&
+           !(list_part_ && list_part_->runs());
+}
 
-fleet_ports::fleet_ports(loop &in, stage &of, const fleet_places &where) : stage_(of) {
-    const index count = of.servers.size() + (of.given.fleet.aside ? 1 : 0);
-    for (index i = 0; i < count; ++i) {
-        servers_.push_back(std::make_unique<server_port>(
-            in, of, i, where.first_server > 0 ? where.first_server + static_cast<int>(i) : 0));
-        hosts_.push_back(servers_.back()->at());
-    }
-    hosts_.resize(of.servers.size() + 1);
-    for (index i = 0; i < of.given.proxies.count; ++i)
-        lists_.push_back(std::make_unique<list_port>(
-            in, of, i, where.first_list > 0 ? where.first_list + static_cast<int>(i) : 0, hosts_));
-    of.list.on_change = [this](const membership::member &) {
-        for (const auto &each : lists_)
-            each->changed();
-    };
+double fleet_ports::cpu() const {
+    double sum = list_part_ ? list_part_->cpu() : 0;
+    for (const auto &each : hosts_parts_)
+        sum += each->cpu();
+    return sum;
 }
 
 std::string fleet_ports::configuration(index proxy, const std::string &listen, std::uint32_t seed) const {
@@ -413,6 +422,12 @@
           {"excessImportance", given.proxies.excess_importance},
           {"tenants", tenants},
           {"useCases", uses}}}};
+    if (given.proxies.peers) {
+        made["peer_listen"] = to_text(peers_.at(proxy));
+        for (index other = 0; other < given.proxies.count; ++other)
+            made["peers"].push_back(to_text(datagrams_->as_seen(proxy, other)));
+        made["peers_all"] = to_text(datagrams_->all_as_seen(proxy));
+    }
     if (given.fleet.aside)
         made["settings"]["familyInfo"] = {{"mode", "aside"}, {"originKind", 1}};
     return made.dump(2) + "\n";
--- a/src/lab/processes/fleet_ports.hpp
+++ b/src/lab/processes/fleet_ports.hpp
@@ -1,101 +1,78 @@
 // SPDX-License-Identifier: Apache-2.0
-// The stand-ins on sockets: each cache server of a fleet, the origin in aside mode, and discovery, on
-// loopback in one loop. The models decide what is answered and when; this gives them connections, and takes
-// these away as a process or a machine that dies would.
+// A fleet's stand-ins on loopback: each cache server, the origin in aside mode, and the list service, in one
+// loop of this process or, where an experiment says so and the run can start them, in processes of their own;
+// and the links before them.
 #pragma once
 
-#include "lab/loop/channel.hpp"
+#include "lab/links/relay.hpp"
+#include "lab/processes/list_port.hpp"
+#include "lab/processes/part.hpp"
+#include "lab/processes/server_port.hpp"
 #include "lab/runs/stage.hpp"
-#include "lab/world/ids.hpp"
-
-#include <unordered_set>
 
 namespace harrierpass::lab {
 
-// One server's listener and connections.
-class server_port {
-public:
-    // `number` is the fleet's size for the origin. Port 0: any.
-    server_port(loop &in, stage &of, index number, int port);
-    ~server_port();
-    std::string at() const { return to_text(at_); }
-    void follow(); // the model's state has changed
-
-private:
-    struct work { // in hand on one connection
-        operation op;
-        index attempt;
-    };
-    void listen();
-    void accept();
-    void plug(bool begins);
-    void message(const std::shared_ptr<channel> &on, const http_reader &asked);
-    void finish(const std::shared_ptr<channel> &on, bool write, std::string_view key, std::string_view id,
-                const result &with);
-    void over(std::uint64_t tag);
-    void tidy();
-
-    loop &loop_;
-    stage &stage_;
-    const index number_;
-    tcp_socket listening_;
-    address at_;
-    std::vector<tcp_socket> plugs_; // connections that nobody accepts, so that no other comes up
-    std::unordered_map<std::uint64_t, std::shared_ptr<channel>> open_; // by tag
-    std::unordered_map<std::uint64_t, work> in_hand_;                  // by tag
-    std::uint64_t next_ = 1, life_ = 0;
-    std::uint64_t spoilt_ = 0;
-    std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
-};
-
-// Discovery as one proxy sees it.
-class list_port {
-public:
-    list_port(loop &in, stage &of, index proxy, int port, const std::vector<std::string> &hosts);
-    ~list_port();
-    std::string at() const { return to_text(at_); }
-    void changed(); // the list
-    static std::string entry(const stage &of, const membership::member &each, const std::string &host);
-
-private:
-    struct waiting_call {
-        std::shared_ptr<channel> on;
-        std::uint64_t since;
-    };
-    void accept();
-    void message(const std::shared_ptr<channel> &on, const http_reader &asked);
-    void tell(const std::shared_ptr<channel> &to, bool whole, const std::vector<membership::member> &members);
-
-    loop &loop_;
-    stage &stage_;
-    const index proxy_;
-    const std::vector<std::string> &hosts_;
-    tcp_socket listening_;
-    address at_;
-    chance chance_;
-    std::unordered_map<std::uint64_t, std::shared_ptr<channel>> open_;
-    std::unordered_map<std::uint64_t, waiting_call> watching_; // by tag
-    std::uint64_t next_ = 1;
-    std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
-};
-
 struct fleet_places {
     int first_server = 0, first_list = 0; // ports; 0: any
 };
 
+// How parts become processes; without `self` all is in the caller's loop.
+struct part_options {
+    std::string self;   // this program, which can be a part
+    std::string folder; // for setups and logs
+};
+
 class fleet_ports {
 public:
-    fleet_ports(loop &in, stage &of, const fleet_places &where = {});
-    std::string list_at(index proxy) const { return lists_.at(proxy)->at(); }
+    fleet_ports(loop &in, stage &of, const fleet_places &where = {}, const part_options &parts = {});
+    ~fleet_ports();
+    // Where a proxy finds the list and a server, and where clients find a proxy: over its link, if it has one.
+    std::string list_at(index proxy) const;
     std::string server_at(index server) const { return hosts_.at(server); }
+    address proxy_at(index proxy, const address &itself);
     // The configuration of a proxy of this fleet, as JSON.
     std::string configuration(index proxy, const std::string &listen, std::uint32_t seed) const;
 
+    bool ready() const; // all parts are up
+    void end();         // the parts, told so
+    bool ended() const;
+    // Descriptors that this process needs for it, as far as the experiment tells.
+    static std::size_t descriptors(const experiment &given, std::size_t links);
+    std::uint64_t deaths() const { return deaths_; } // of parts, by themselves
+    double cpu() const;                              // s, of the ended parts
+    const datagram_relay *datagrams() const { return datagrams_.get(); }
+    std::size_t links() const { return linked_; }
+
 private:
+    void make_links();
+    void make_parts(const part_options &parts);
+    std::string setup(const std::string &role, index host, bool cold) const;
+    void write_setup(const std::string &name, const std::string &text) const;
+    void serve(part_process &part, index host);
+    void tell_list();
+    void on_host(index host, fault_kind kind, bool begins);
+    void on_list(bool kills, bool begins);
+    void follow(index server);
+
+    loop &loop_;
     stage &stage_;
     std::vector<std::unique_ptr<server_port>> servers_;
     std::vector<std::string> hosts_;
+    std::vector<address> list_addresses_;
     std::vector<std::unique_ptr<list_port>> lists_;
+    std::unique_ptr<relay> relay_;
+    std::unique_ptr<datagram_relay> datagrams_;
+    std::vector<address> peers_;
+    std::map<std::pair<index, index>, std::string> server_links_; // by proxy, server
+    std::map<index, std::string> list_links_;                     // by proxy
+    std::map<index, address> proxy_links_;
+    server_places where_;
+    std::string folder_;
+    std::vector<std::unique_ptr<part_process>> hosts_parts_; // by host
+    std::unique_ptr<part_process> list_part_;
+    std::vector<index> killed_, stopped_; // by host: faults that hold it; the list's behind them
+    std::uint64_t deaths_ = 0;
+    std::size_t linked_ = 0;
 };
 
 } // namespace harrierpass::lab
--- a/src/lab/processes/process.cpp
+++ b/src/lab/processes/process.cpp
@@ -10,6 +10,7 @@
 #include <sstream>
 #include <sys/epoll.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <system_error>
 #include <thread>
@@ -41,14 +42,14 @@
     return made;
 }
 
-proxy_process::proxy_process(loop &in, std::vector<std::string> command, std::string log)
-    : loop_(in), command_(std::move(command)), log_(log, std::ios::app) {}
+child_process::child_process(loop &in, std::vector<std::string> command, std::string log, bool control)
+    : loop_(in), command_(std::move(command)), log_(log, std::ios::app), controlled_(control) {}
 
-proxy_process::~proxy_process() {
+child_process::~child_process() {
     kill();
 }
 
-void proxy_process::start() {
+void child_process::start() {
     int ends[2];
     if (::pipe2(ends, O_CLOEXEC) != 0)
         throw std::system_error(errno, std::generic_category(), "no pipe");
@@ -58,6 +59,16 @@
     posix_spawn_file_actions_t files;
     posix_spawn_file_actions_init(&files);
     posix_spawn_file_actions_adddup2(&files, theirs.get(), 2);
+    tcp_socket their_control;
+    if (controlled_) {
+        int pair[2];
+        if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, pair) != 0)
+            throw std::system_error(errno, std::generic_category(), "no pair of sockets");
+        control_ = tcp_socket(pair[0]);
+        their_control = tcp_socket(fcntl(pair[1], F_DUPFD_CLOEXEC, 10)); // not 3 itself, which would stay closed
+        ::close(pair[1]);
+        posix_spawn_file_actions_adddup2(&files, their_control.get(), control_place);
+    }
     std::vector<char *> arguments;
     for (const auto &each : command_)
         arguments.push_back(const_cast<char *>(each.c_str()));
@@ -71,7 +82,7 @@
     loop_.watch(errors_.get(), EPOLLIN, [this](std::uint32_t) { read(); });
 }
 
-void proxy_process::read() {
+void child_process::read() {
     std::array<char, 4096> part{};
     for (;;) {
         const auto got = ::read(errors_.get(), part.data(), part.size());
@@ -96,7 +107,7 @@
         on_exit();
 }
 
-void proxy_process::reap() {
+void child_process::reap() {
     if (errors_) {
         loop_.forget(errors_.get());
         errors_.close();
@@ -115,12 +126,12 @@
     cpu_ += seconds(used.ru_utime) + seconds(used.ru_stime);
 }
 
-void proxy_process::signal(int which) {
+void child_process::signal(int which) {
     if (runs())
         ::kill(pid_, which);
 }
 
-void proxy_process::kill() {
+void child_process::kill() {
     signal(SIGKILL);
     reap();
 }
--- a/src/lab/processes/process.hpp
+++ b/src/lab/processes/process.hpp
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// A proxy under test as a process of its own: started, watched by its log, signalled, and weighed.
+// A process of a run, a proxy under test or a part of the world: started, watched by its log, signalled, and
+// weighed.
 #pragma once
 
 #include "lab/loop/loop.hpp"
@@ -22,13 +23,14 @@
 // Of any process of this user's; empty where it is gone.
 std::optional<process_weight> weigh(pid_t pid);
 
-class proxy_process {
+class child_process {
 public:
-    // `command`: program and arguments. What it writes to standard error goes to `log`.
-    proxy_process(loop &in, std::vector<std::string> command, std::string log);
-    ~proxy_process(); // ends it
-    proxy_process(const proxy_process &) = delete;
-    proxy_process &operator=(const proxy_process &) = delete;
+    // `command`: program and arguments. What it writes to standard error goes to `log`. `control`: it gets one
+    // end of a pair of sockets as descriptor 3, and take_control() gives the other one.
+    child_process(loop &in, std::vector<std::string> command, std::string log, bool control = false);
+    ~child_process(); // ends it
+    child_process(const child_process &) = delete;
+    child_process &operator=(const child_process &) = delete;
 
     void start();
     void signal(int which);
@@ -36,6 +38,8 @@
     bool runs() const { return pid_ > 0; }
     pid_t pid() const { return pid_; }
     double cpu() const { return cpu_; } // s, of all its ended processes
+    tcp_socket take_control() { return std::move(control_); }
+    static constexpr int control_place = 3;
 
     std::function<void(const address &)> on_listening; // it says where
     std::function<void()> on_exit;                     // by itself
@@ -48,6 +52,8 @@
     const std::vector<std::string> command_;
     std::ofstream log_;
     std::string line_;
+    const bool controlled_;
+    tcp_socket control_;
     tcp_socket errors_; // the reading end of its standard error
     pid_t pid_ = 0;
     double cpu_ = 0;
--- /dev/null
+++ b/src/lab/processes/server_port.cpp
@@ -0,0 +1,222 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/processes/server_port.hpp"
+
+#include "lab/processes/answers.hpp"
+#include "lab/world/ids.hpp"
+#include "router/router.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+namespace harrierpass::lab {
+namespace {
+
+constexpr double tidy_period = 0.5;   // s between looks for idle connections
+constexpr std::size_t plug_count = 4; // connections that fill a backlog of nothing
+
+} // namespace
+
+server_port::server_port(loop &in, fleet &of, index number, const address &at)
+    : loop_(in), fleet_(of), number_(number) {
+    listening_ = must_listen(at);
+    at_ = local_address(listening_);
+    listening_.close();
+    if (number_ < fleet_.size()) {
+        life_ = fleet_.at(number_).life();
+        fleet_.at(number_).on_change = [this] { follow(); };
+    }
+    follow();
+    loop_.clock.after(tidy_period, [this, here = std::weak_ptr(here_)] {
+        if (!here.expired())
+            tidy();
+    });
+}
+
+server_port::~server_port() {
+    if (listening_)
+        loop_.forget(listening_.get());
+    if (number_ < fleet_.size())
+        fleet_.at(number_).on_change = {};
+}
+
+void server_port::listen() {
+    listening_ = must_listen(at_);
+    loop_.watch(listening_.get(), EPOLLIN, [this](std::uint32_t) { accept(); });
+}
+
+void server_port::follow() {
+    const bool is_server = number_ < fleet_.size();
+    const bool up = !is_server || fleet_.at(number_).up();
+    const bool silent = is_server && fleet_.at(number_).silent();
+    if (is_server && (life_ != fleet_.at(number_).life() || !up) && !silent) {
+        life_ = fleet_.at(number_).life();
+        const auto all = std::move(open_);
+        open_.clear();
+        for (const auto &[tag, each] : all) {
+            over(tag);
+            each->end(true);
+            connection(false);
+        }
+    }
+    if (!up && !silent && listening_) {
+        plug(false);
+        loop_.forget(listening_.get());
+        listening_.close();
+    }
+    if (up && !listening_)
+        listen();
+    if (listening_)
+        plug(silent);
+    std::vector<std::shared_ptr<channel>> all; // one that was closed meanwhile leaves open_
+    for (const auto &[tag, each] : open_)
+        all.push_back(each);
+    for (const auto &each : all)
+        each->stand(silent);
+}
+
+// A machine that is gone accepts nothing and refuses nothing: with its backlog full, the system here drops
+// what would connect.
+void server_port::plug(bool begins) {
+    if (begins == !plugs_.empty())
+        return;
+    if (!begins) {
+        plugs_.clear();
+        ::listen(listening_.get(), 128);
+        return;
+    }
+    loop_.change(listening_.get(), 0);
+    ::listen(listening_.get(), 0);
+    for (std::size_t i = 0; i < plug_count; ++i)
+        plugs_.push_back(dial_soon(at_));
+}
+
+void server_port::accept() {
+    if (!plugs_.empty())
+        return;
+    loop_.change(listening_.get(), EPOLLIN);
+    address peer;
+    for (tcp_socket one; (one = accept_on(listening_, peer));) {
+        const auto made = std::make_shared<channel>(loop_, std::move(one), http_reader::side::request);
+        made->tag = next_++;
+        made->used = loop_.clock.now();
+        made->on_message = [this](const auto &on, const http_reader &asked) { message(on, asked); };
+        made->on_end = [this](const auto &on, channel::ending) {
+            over(on->tag);
+            if (open_.erase(on->tag) > 0)
+                connection(false);
+        };
+        made->on_gone = [this](const auto &on) { over(on->tag); };
+        open_[made->tag] = made;
+        connection(true);
+        made->start(false);
+    }
+}
+
+void server_port::connection(bool begins) {
+    if (begins && number_ < fleet_.size())
+        fleet_.at(number_).dialled();
+    if (on_connection)
+        on_connection(number_, begins);
+}
+
+void server_port::over(std::uint64_t tag) {
+    if (const auto found = in_hand_.find(tag); found != in_hand_.end()) {
+        fleet_.judge.over(found->second.op, found->second.attempt, number_);
+        in_hand_.erase(found);
+    }
+}
+
+void server_port::message(const std::shared_ptr<channel> &on, const http_reader &asked) {
+    const auto &head = asked.head();
+    on->used = loop_.clock.now();
+    if (head.target == "/ping") {
+        if (number_ < fleet_.size() && !fleet_.at(number_).answers_probes())
+            return;
+        return on->send(text_answer(200, {}, {}));
+    }
+    const std::string_view path = head.target.substr(1, head.target.find('?') - 1);
+    std::string_view name = head.value("X-Class");
+    if (name.empty())
+        name = path.substr(0, path.find('/'));
+    const auto &uses = fleet_.given.use_cases;
+    const auto use =
+        std::find_if(uses.begin(), uses.end(), [&](const use_case_spec &each) { return each.name == name; });
+    const std::string id(head.value("X-Request-Id"));
+    if (id.empty() || use == uses.end())
+        return on->send(text_answer(id.empty() ? 404 : 400, {}, {}));
+    const auto slash = path.rfind('/');
+    const std::string key(slash == std::string_view::npos ? std::string_view{} : path.substr(slash + 1));
+    job what;
+    std::tie(what.op, what.attempt) = from_id(id);
+    what.use_case = static_cast<index>(use - uses.begin());
+    what.write = head.method == "PUT";
+    what.keyed = !key.empty();
+    const auto [end, bad] = std::from_chars(key.data(), key.data() + key.size(), what.key);
+    if (bad != std::errc{} || end != key.data() + key.size())
+        what.key = ring_hash(key);
+    fleet_.judge.meet(what.op, what.attempt, what.use_case);
+    fleet_.judge.received(what.op, what.attempt, number_, loop_.clock.now());
+    in_hand_[on->tag] = {what.op, what.attempt};
+    const auto done = [this, here = std::weak_ptr(here_), weak = std::weak_ptr(on), key, id,
+                       write = what.write](const result &with) {
+        const auto still = weak.lock();
+        if (!here.expired() && still && still->open())
+            finish(still, write, key, id, with);
+    };
+    if (number_ < fleet_.size())
+        fleet_.at(number_).receive(what, done);
+    else
+        fleet_.receive_at_origin(what, done);
+}
+
+void server_port::finish(const std::shared_ptr<channel> &on, bool write, std::string_view key,
+                         std::string_view id, const result &with) {
+    static constexpr std::array<std::string_view, 4> notes = {"", "X-Cache: hit\r\n", "X-Cache: miss\r\n",
+                                                              "X-Cache: pending\r\n"};
+    // Noise, a head with a length that is none, a length that never comes.
+    static constexpr std::array<std::string_view, 3> noise = {
+        "\x01\x02\x03 garble\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -7\r\n\r\nxyz",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxyz"};
+    on->used = loop_.clock.now();
+    over(on->tag);
+    const std::string_view note = notes[static_cast<std::size_t>(with.says)];
+    switch (with.is) {
+    case result::kind::completed:
+        return on->send(text_answer(200, note,
+                                    "{\"key\":\"" + std::string(key) + "\",\"query\":\"" + std::string(id) +
+                                        "\",\"server\":\"" +
+                                        (number_ < fleet_.size() ? server_id(number_) : "origin") +
+                                        (write ? "\",\"written\":true}\n" : "\"}\n")));
+    case result::kind::error:
+        return on->send(text_answer(500, {}, {}));
+    case result::kind::queue_full:
+        return on->send(text_answer(503, "X-Not-Run: 1\r\n", {}));
+    case result::kind::missed:
+        return on->send(text_answer(404, note, {}));
+    case result::kind::spoilt:
+        return on->send(noise[spoilt_++ % noise.size()]);
+    }
+}
+
+void server_port::tidy() {
+    std::vector<std::shared_ptr<channel>> idle;
+    const bool silent = number_ < fleet_.size() && fleet_.at(number_).silent();
+    for (const auto &[tag, each] : open_)
+        if (!silent && !in_hand_.contains(tag) && !each->heard() &&
+            each->used + fleet_.given.fleet.idle < loop_.clock.now())
+            idle.push_back(each);
+    for (const auto &each : idle) {
+        each->end(false);
+        if (open_.erase(each->tag) > 0)
+            connection(false);
+    }
+    loop_.clock.after(tidy_period, [this, here = std::weak_ptr(here_)] {
+        if (!here.expired())
+            tidy();
+    });
+}
+
+} // namespace harrierpass::lab
--- /dev/null
+++ b/src/lab/processes/server_port.hpp
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+// A cache server of a fleet, or the origin in aside mode, on a socket. The model decides what is answered and
+// when; this gives it connections, and takes these away as a process or a machine that dies would.
+#pragma once
+
+#include "lab/loop/channel.hpp"
+#include "lab/world/servers.hpp"
+
+#include <unordered_map>
+
+namespace harrierpass::lab {
+
+// One server's listener and connections.
+class server_port {
+public:
+    // `number` is the fleet's size for the origin.
+    server_port(loop &in, fleet &of, index number, const address &at);
+    ~server_port();
+    std::string at() const { return to_text(at_); }
+    void follow(); // the model's state has changed
+    std::function<void(index server, bool begins)> on_connection; // one came, or is over
+
+private:
+    struct work { // in hand on one connection
+        operation op;
+        index attempt;
+    };
+    void listen();
+    void accept();
+    void plug(bool begins);
+    void message(const std::shared_ptr<channel> &on, const http_reader &asked);
+    void finish(const std::shared_ptr<channel> &on, bool write, std::string_view key, std::string_view id,
+                const result &with);
+    void over(std::uint64_t tag);
+    void tidy();
+    void connection(bool begins);
+
+    loop &loop_;
+    fleet &fleet_;
+    const index number_;
+    tcp_socket listening_;
+    address at_;
+    std::vector<tcp_socket> plugs_; // connections that nobody accepts, so that no other comes up
+    std::unordered_map<std::uint64_t, std::shared_ptr<channel>> open_; // by tag
+    std::unordered_map<std::uint64_t, work> in_hand_;                  // by tag
+    std::uint64_t next_ = 1, life_ = 0;
+    std::uint64_t spoilt_ = 0;
+    std::shared_ptr<bool> here_ = std::make_shared<bool>(true);
+};
+
+} // namespace harrierpass::lab
--- a/src/lab/program/main.cpp
+++ b/src/lab/program/main.cpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // harrierlab: the laboratory's command line. Exit codes: 0 all is well; 1 a rule was broken; 2 the command
 // line or an experiment is not usable; 3 the machine was too slow for the run, which does not count.
+#include "lab/processes/part.hpp"
 #include "lab/runs/deciders.hpp"
 #include "lab/program/fleet_shell.hpp"
 #include "lab/judge/plot.hpp"
@@ -208,6 +209,9 @@
     loads->add_option("--seed", load.seed, "of the load");
     loads->add_option("--pid", load.pid, "whose CPU and memory are told");
     loads->add_option("--idle", load.idle, "connections that rest meanwhile")->check(CLI::Range(0, 20000));
+    std::string setup;
+    auto *const parts = app.add_subcommand("part", "a part of a run's world, started by the run");
+    parts->add_option("setup", setup, "a file that the run wrote")->required();
     std::string by, configuration;
     auto *const proxies = app.add_subcommand("proxy", "the proxy with a baseline in the place of its module");
     proxies->add_option("--by", by, "module, random, least_of_two or plain_ring")->required();
@@ -222,6 +226,8 @@
         how.sockets.self = std::filesystem::read_symlink("/proc/self/exe", unknown).string();
         if (how.sockets.program.empty())
             how.sockets.program = how.sockets.self.substr(0, how.sockets.self.rfind('/') + 1) + "harrierpass";
+        if (*parts)
+            return run_part(setup);
         if (*fleets)
             return serve_fleet(read_experiment(file), shell);
         if (*proxies)
--- a/src/lab/runs/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -8,6 +8,7 @@
 #include "net/threads.hpp"
 #include "proxy/service.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -22,53 +23,105 @@
 constexpr double look_again = 0.02;  // s between looks whether it is
 constexpr double wind_down = 30;     // s after the load for the last queries, at most
 constexpr double end_limit = 6;      // s for a planned end
+constexpr double still_come = 0.3;   // s after a proxy was told to end in which clients still come to it
 constexpr double late_share = 0.1;   // of the shortest SLO time; a generator later than this measures itself
 constexpr double least_late = 0.005; // s; or than this
 
 // One proxy of a run, whichever way it is there.
 struct proxy_here {
-    std::unique_ptr<proxy_process> process;
+    std::unique_ptr<child_process> process;
     std::unique_ptr<std::ofstream> log;
     std::unique_ptr<proxy::service> service;
     std::optional<address> at;
     index killed = 0, stopped = 0;
     bool ready = false, ends = false;
+    bool leaves = false; // told to end by the script
+    double again = -1;   // s after that end in which it is started again; below 0: never
+    std::uint64_t resident_kb = 0;
 };
 
-class whole_run {
+// Where logs and configurations are; a temporary folder goes with the run.
+class run_folder {
 public:
-    whole_run(const experiment &given, const variant_spec &as, std::uint32_t seed, const socket_options &how)
-        : given_(given), as_(as), how_(how), all_(loop_.clock, given, seed, slack), fleet_(loop_, all_),
-          port_(loop_, given, all_.people, all_.judge, given.proxies.count), seeds_(seed + 3) {
-        folder_ = how.logs;
-        if (folder_.empty()) {
+    explicit run_folder(const std::string &given) : path_(given) {
+        if (path_.empty()) {
             std::string name = (std::filesystem::temp_directory_path() / "harrierlab-XXXXXX").string();
             if (::mkdtemp(name.data()) == nullptr)
                 throw std::system_error(errno, std::generic_category(), "no temporary folder");
-            folder_ = name;
+            path_ = name;
             temporary_ = true;
         }
-        std::filesystem::create_directories(folder_);
+        std::filesystem::create_directories(path_);
     }
-    ~whole_run() {
-        proxies_.clear();
+    ~run_folder() {
         std::error_code failed;
         if (temporary_)
-            std::filesystem::remove_all(folder_, failed);
+            std::filesystem::remove_all(path_, failed);
     }
+    run_folder(const run_folder &) = delete;
+    run_folder &operator=(const run_folder &) = delete;
+    const std::string &path() const { return path_; }
+
+private:
+    std::string path_;
+    bool temporary_ = false;
+};
+
+// As many descriptors as this process may have; too few are told before anything starts.
+void raise_descriptors(const experiment &given, std::size_t links) {
+    rlimit most{};
+    getrlimit(RLIMIT_NOFILE, &most);
+    most.rlim_cur = most.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &most);
+    const std::size_t needed = fleet_ports::descriptors(given, links);
+    if (needed > most.rlim_cur)
+        throw bad_experiment(given.name + ": needs " + std::to_string(needed) +
+                             " descriptors on sockets, and this process may have " +
+                             std::to_string(most.rlim_cur) + " (ulimit -n); in virtual time it needs none");
+}
+
+class whole_run {
+public:
+    whole_run(const experiment &given, const variant_spec &as, std::uint32_t seed, const socket_options &how)
+        : given_(given), as_(as), how_(how), folder_(how.logs),
+          all_(loop_.clock, given, seed, slack, given.fleet.hosts > 0 || given.list.own_process),
+          fleet_((raise_descriptors(given, all_.links.size()), loop_), all_, {}, {how.self, folder_.path()}),
+          port_(loop_, given, all_.people, all_.sees, given.proxies.count), seeds_(seed + 3) {}
 
     run_result run() {
         const double began = steady_now();
         all_.on_proxy_kill = [this](index proxy, bool begins) { kill(proxy, begins); };
         all_.on_proxy_pause = [this](index proxy, bool begins) { pause(proxy, begins); };
+        all_.on_proxy_restart = [this](index proxy, const fault_spec &fault) { restart(proxy, fault); };
         proxies_.resize(given_.proxies.count);
-        for (index i = 0; i < proxies_.size(); ++i)
-            start(i, "127.0.0.1:0");
+        std::vector<bool> late(proxies_.size());
+        for (const auto &each : given_.faults)
+            if (each.kind == fault_kind::proxy_late)
+                for (const index proxy : each.proxies)
+                    late[proxy] = true;
         const double limit = loop_.clock.now() + ready_limit;
-        loop_.run([&] { return all_ready() || loop_.clock.now() > limit; });
-        if (!all_ready())
+        loop_.run([&] { return fleet_.ready() || loop_.clock.now() > limit; });
+        if (!fleet_.ready())
+            throw bad_experiment("a process of the world was not ready in time; see its log with --logs");
+        const double starts = loop_.clock.now();
+        // Where all start together the load does not wait, nor do the faults of its first moment.
+        if (given_.proxies.together)
+            all_.start();
+        for (index i = 0; i < proxies_.size(); ++i)
+            if (!late[i])
+                start(i, "127.0.0.1:0");
+        const auto ready = [&] {
+            for (index i = 0; i < proxies_.size(); ++i)
+                if (!late[i] && !proxies_[i].ready)
+                    return false;
+            return true;
+        };
+        loop_.run([&] { return ready() || loop_.clock.now() > starts + ready_limit; });
+        if (!ready())
             throw bad_experiment("a proxy was not ready in time; see its log with --logs");
-        all_.start();
+        const double all_up = loop_.clock.now() - starts;
+        if (!given_.proxies.together)
+            all_.start();
         const double end = loop_.clock.now() + given_.length + wind_down;
         double told = loop_.clock.now();
         loop_.run([&] {
@@ -80,21 +133,44 @@
             }
             return all_.done() || loop_.clock.now() > end;
         });
+        const bool done = all_.done();
+        const double ends = loop_.clock.now();
+        const double cpu = end_all();
+        const double all_ended = loop_.clock.now() - ends;
+        // What the parts of the world have seen to the last is judged, too.
+        fleet_.end();
+        const double patience = loop_.clock.now() + end_limit;
+        loop_.run([&] { return fleet_.ended() || loop_.clock.now() > patience; });
+        all_.events.gone(all_.own_events);
+        all_.events.judge();
         run_result made = all_.result(as_, "sockets");
-        if (!all_.done())
+        if (!done)
             made.void_because = "queries were still open long after the load";
+        made.rules.emplace_back("crashed", crashes_ + fleet_.deaths());
+        const auto count = std::max<std::uint64_t>(1, made.queries);
         std::uint64_t resident = 0;
-        for (auto &each : proxies_)
+        std::vector<double> cpus;
+        for (const auto &each : proxies_) {
+            resident = std::max(resident, each.resident_kb);
             if (each.process)
-                if (const auto weight = weigh(each.process->pid()))
-                    resident = std::max(resident, weight->resident_kb);
-        const double cpu = end_all();
-        made.rules.emplace_back("crashed", crashes_);
-        const auto count = std::max<std::uint64_t>(1, made.queries);
+                cpus.push_back(each.process->cpu());
+        }
+        std::sort(cpus.begin(), cpus.end());
         made.proxies = {
             {"cpu_ns_a_query", static_cast<std::uint64_t>(cpu * 1e9 / static_cast<double>(count))},
             {"resident_kb", resident},
             {"client_dials", port_.dials()}};
+        made.fleet.emplace_back("all_up_s", all_up);
+        made.fleet.emplace_back("all_ended_s", all_ended);
+        made.fleet.emplace_back("proxy_cpu_s_p50", cpus.empty() ? 0 : cpus[cpus.size() / 2]);
+        made.fleet.emplace_back("proxy_cpu_s_most", cpus.empty() ? 0 : cpus.back());
+        made.fleet.emplace_back("proxy_mb_most", static_cast<double>(resident) / 1024);
+        if (const auto *const between = fleet_.datagrams()) {
+            made.fleet.emplace_back("datagrams_a_query",
+                                    static_cast<double>(between->seen().sent) / static_cast<double>(count));
+            made.fleet.emplace_back("datagram_bytes_a_query",
+                                    static_cast<double>(between->seen().bytes) / static_cast<double>(count));
+        }
         made.wall = steady_now() - began;
         judge_lateness(made, given_);
         return made;
@@ -118,10 +194,12 @@
     double end_all() {
         for (auto &each : proxies_) {
             each.ends = true;
-            if (each.process) {
-                each.process->signal(SIGCONT);
-                each.process->signal(SIGTERM);
-            }
+            if (!each.process || !each.process->runs())
+                continue;
+            if (const auto weight = weigh(each.process->pid()))
+                each.resident_kb = weight->resident_kb;
+            each.process->signal(SIGCONT);
+            each.process->signal(SIGTERM);
         }
         const double limit = loop_.clock.now() + end_limit;
         loop_.run([&] { return none_runs() || loop_.clock.now() > limit; });
@@ -139,15 +217,12 @@
         return std::none_of(proxies_.begin(), proxies_.end(),
                             [](const proxy_here &each) { return each.process && each.process->runs(); });
     }
-    bool all_ready() const {
-        return std::all_of(proxies_.begin(), proxies_.end(),
-                           [](const proxy_here &each) { return each.ready; });
-    }
 
     void start(index number, const std::string &listen) {
         auto &here = proxies_[number];
         here.ready = false;
-        const std::string path = folder_ + "/p" + std::to_string(number);
+        here.leaves = false;
+        const std::string path = folder_.path() + "/p" + std::to_string(number);
         std::ofstream(path + ".json") << fleet_.configuration(number, listen, seeds_.seed());
         if (how_.embeds) {
             std::ifstream in(path + ".json");
@@ -163,17 +238,24 @@
             std::vector<std::string> command = {how_.program, path + ".json"};
             if (as_.by != decider::module)
                 command = {how_.self, "proxy", "--by", name_of(as_.by), path + ".json"};
-            here.process = std::make_unique<proxy_process>(loop_, command, path + ".log");
+            here.process = std::make_unique<child_process>(loop_, command, path + ".log");
             here.process->on_listening = [this, number](const address &at) {
                 proxies_[number].at = at;
                 look(number);
             };
             here.process->on_exit = [this, number] {
-                if (proxies_[number].ends)
+                auto &left = proxies_[number];
+                if (left.ends)
                     return;
-                ++crashes_; // by itself
-                all_.judge.restarted(number);
+                left.ready = false;
+                crashes_ += left.leaves ? 0 : 1; // by itself
+                all_.sees.restarted(number, !left.leaves);
                 port_.place(number, std::nullopt);
+                if (left.leaves && left.again >= 0)
+                    loop_.clock.after(left.again, [this, number] {
+                        if (!proxies_[number].ends && proxies_[number].killed == 0)
+                            start(number, to_text(*proxies_[number].at));
+                    });
             };
         }
         here.process->start();
@@ -204,7 +286,23 @@
         if (!ready)
             return loop_.clock.after(look_again, [this, number] { look(number); });
         here.ready = true;
-        port_.place(number, here.at);
+        port_.place(number, fleet_.proxy_at(number, *here.at));
+    }
+
+    // Told to end: clients go on using what they have, and for a moment go on coming.
+    void restart(index number, const fault_spec &fault) {
+        auto &here = proxies_[number];
+        if (fault.kind == fault_kind::proxy_late)
+            return start(number, "127.0.0.1:0");
+        if (!here.process || !here.process->runs() || here.leaves)
+            return;
+        here.leaves = true;
+        here.again = fault.kind == fault_kind::proxy_restart ? fault.lasts : -1;
+        here.process->signal(SIGTERM);
+        loop_.clock.after(still_come, [this, number] {
+            if (proxies_[number].leaves)
+                port_.avoid(number);
+        });
     }
 
     void kill(index number, bool begins) {
@@ -212,7 +310,8 @@
         if (!here.process)
             throw bad_experiment("an embedded proxy cannot be killed: leave --embed out");
         if (begins && here.killed++ == 0) {
-            all_.judge.restarted(number);
+            here.ready = false;
+            all_.sees.restarted(number, true);
             here.process->kill();
             port_.place(number, std::nullopt);
         } else if (!begins && --here.killed == 0) {
@@ -224,7 +323,7 @@
         auto &here = proxies_[number];
         if (!here.process)
             throw bad_experiment("an embedded proxy cannot be stopped: leave --embed out");
-        all_.judge.paused(number, begins);
+        all_.sees.paused(number, begins);
         here.stopped += begins ? 1 : static_cast<index>(-1);
         here.process->signal(here.stopped > 0 ? SIGSTOP : SIGCONT);
     }
@@ -233,12 +332,11 @@
     const variant_spec &as_;
     const socket_options &how_;
     loop loop_;
+    run_folder folder_; // the processes' own, which are gone before it
     stage all_;
     fleet_ports fleet_;
     client_port port_;
     chance seeds_;
-    std::string folder_;
-    bool temporary_ = false;
     std::uint64_t crashes_ = 0;
     std::unordered_map<index, std::shared_ptr<channel>> looks_;
     std::vector<proxy_here> proxies_;
--- a/src/lab/runs/stage.cpp
+++ b/src/lab/runs/stage.cpp
@@ -15,16 +15,20 @@
 
 } // namespace
 
-stage::stage(timeline &with, const experiment &of, std::uint32_t seed, double slack)
-    : clock(with), given(of), judge(with, of, slack), servers(with, of, judge, seed),
-      list(with, of, servers.size(), seed + 1), service(with, of.list, list), people(with, of, judge, seed + 2),
+stage::stage(timeline &with, const experiment &of, std::uint32_t seed, double slack, bool merges)
+    : clock(with), given(of), judged_(with.now()), judge(merges ? judged_ : with, of, slack),
+      events(judged_, judge), own_events(events.add_source()),
+      writes_(with, [this](const seen &what) { events.put(own_events, what); }),
+      sees(merges ? static_cast<witness &>(writes_) : judge), servers(with, of, sees, seed),
+      list(with, of, servers.size(), seed + 1), service(with, of.list, list), people(with, of, sees, seed + 2),
       links(of, servers.size() + (of.fleet.aside ? 1 : 0), seed), figures(with, of, servers.size()), seed_(seed) {
+    judge.on_received = [this](index server) { figures.execution(server); };
     people.on_settled = [this](index proxy, double served, double asked) {
         figures.served(zone_of(given, proxy), served, asked);
     };
     links.on_change = [this](const link_id &which, const link_now &before, const link_now &now) {
         if (before.troubled() != now.troubled())
-            judge.link_trouble(which.kind, which.near, which.far, now.troubled());
+            sees.link_trouble(which.kind, which.near, which.far, now.troubled());
         if (on_link)
             on_link(which, before, now);
     };
@@ -82,8 +86,10 @@
 
 void stage::apply(const fault_spec &fault, bool begins) {
     for (const index each : fault.servers)
-        if (!on_server_fault || !on_server_fault(fault, each, begins))
-            set_server(fault, each, begins);
+        set_server(fault, each, begins);
+    if (on_host)
+        for (const index each : fault.hosts)
+            on_host(each, fault.kind, begins);
     switch (fault.kind) {
     case fault_kind::list_silent:
         return list.silent(begins);
@@ -131,15 +137,13 @@
                           fault.kind == fault_kind::vanish || fault.kind == fault_kind::one_way;
     if (silences && (fault.lasts <= 0 || fault.lasts >= least_trouble))
         of.set_trouble(begins);
+    if (fault.kind != fault_kind::drain) // its refusals come later
+        model(fault, server, begins);
     switch (fault.kind) {
+    case fault_kind::join:
+        return list.happened(server, listing::ready, of.started());
     case fault_kind::crash:
     case fault_kind::host_kill:
-    case fault_kind::join:
-        if (fault.kind == fault_kind::join) {
-            of.crash(false);
-            return list.happened(server, listing::ready, of.started());
-        }
-        of.crash(begins);
         if (begins) {
             if (on_broken && !of.silent())
                 on_broken(server);
@@ -148,27 +152,17 @@
             list.happened(server, listing::ready, of.started());
         }
         return;
-    case fault_kind::hang:
-    case fault_kind::host_stop:
-        return of.hang(begins);
-    case fault_kind::vanish:
-        return of.vanish(begins);
-    case fault_kind::slow:
-        return of.slow(fault.factor, begins);
-    case fault_kind::errors:
-        return of.errors(fault.factor, fault.use_case, begins);
-    case fault_kind::spoilt:
-        return of.spoilt(fault.factor, begins);
-    case fault_kind::one_way:
-        return of.one_way(begins);
     case fault_kind::drain:
         list.happened(server, listing::draining, of.started());
         // A server that drains finishes what it has; later it is gone.
-        clock.after(given.list.drain_grace + 4 * given.list.lag, [&of] { of.refuse(true); });
+        clock.after(given.list.drain_grace + 4 * given.list.lag,
+                    [this, &fault, server] { model(fault, server, true); });
         if (fault.lasts > 0)
             clock.after(fault.lasts, [this, server, &of] {
                 list.happened(server, listing::gone, of.started());
-                of.crash(true);
+                fault_spec gone;
+                gone.kind = fault_kind::crash;
+                model(gone, server, true);
                 if (on_broken)
                     on_broken(server);
             });
@@ -182,6 +176,12 @@
     }
 }
 
+void stage::model(const fault_spec &fault, index server, bool begins) {
+    set_model(servers.at(server), fault, begins);
+    if (on_model)
+        on_model(fault, server, begins);
+}
+
 // The list leaves a dead process out when it notices, unless that is back by then.
 void stage::notice(index server) {
     clock.after(given.list.notice, [this, server] {
--- a/src/lab/runs/stage.hpp
+++ b/src/lab/runs/stage.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "lab/judge/figures.hpp"
+#include "lab/judge/merge.hpp"
 #include "lab/judge/referee.hpp"
 #include "lab/judge/result.hpp"
 #include "lab/links/conditions.hpp"
@@ -22,8 +23,9 @@
 
 class stage {
 public:
-    // `slack`: s by which clocks on the link may differ.
-    stage(timeline &clock, const experiment &given, std::uint32_t seed, double slack);
+    // `slack`: s by which clocks on the link may differ. `merges`: parts of the world are other processes, and
+    // what they see comes by `events`.
+    stage(timeline &clock, const experiment &given, std::uint32_t seed, double slack, bool merges = false);
 
     void start(); // load and faults, from now on
     void start_faults();
@@ -34,8 +36,9 @@
     std::function<void(index server)> on_broken; // its connections break
     std::function<void(index proxy, bool begins)> on_proxy_kill, on_proxy_pause;
     std::function<void(index proxy, const fault_spec &fault)> on_proxy_restart; // restart, end, late
-    // Each fault of a server; true: the run has made it otherwise.
-    std::function<bool(const fault_spec &fault, index server, bool begins)> on_server_fault;
+    // What a server's model was told, for one that is in another process; a process of servers as a whole.
+    std::function<void(const fault_spec &fault, index server, bool begins)> on_model;
+    std::function<void(index host, fault_kind kind, bool begins)> on_host;
     std::function<void(bool begins)> on_list_kill, on_list_stop;
     // Its state is the table's; the referee has been told.
     std::function<void(const link_id &, const link_now &before, const link_now &now)> on_link;
@@ -44,7 +47,20 @@
 
     timeline &clock;
     const experiment &given;
+
+private:
+    timeline judged_; // the judge's own time, where events are merged
+
+public:
     referee judge;
+    event_merge events;
+    std::size_t own_events = 0; // the source that this process is
+
+private:
+    writer writes_;
+
+public:
+    witness &sees; // what this process sees goes there
     fleet servers;
     membership list;
     list_service service;
@@ -54,6 +70,7 @@
 
 private:
     void set_server(const fault_spec &fault, index server, bool begins);
+    void model(const fault_spec &fault, index server, bool begins);
     void flap(const fault_spec &fault, index server, double until);
     void notice(index server);
     void sample();
--- a/src/lab/runs/virtual_proxy.cpp
+++ b/src/lab/runs/virtual_proxy.cpp
@@ -76,7 +76,7 @@
                 wait_end(gone, limit);
         });
     if (up())
-        kill();
+        kill(true);
     gone();
 }
 
@@ -154,9 +154,9 @@
     }
 }
 
-void virtual_proxy::kill() {
+void virtual_proxy::kill(bool planned) {
     ++life_;
-    judge_.restarted(number_);
+    judge_.restarted(number_, !planned);
     for (index i = 0; i < held_.size(); ++i)
         if (auto &of = held_[i]; of.live) {
             end_out(of);
@@ -449,7 +449,6 @@
                     clock_.after(there, [heard] { heard(outcome::connect_error, false); });
                 return;
             }
-            figures_.execution(server);
             judge_.received(what.op, what.attempt, server, sent);
             if (!extra && !waits())
                 judge_.over(what.op, what.attempt, server); // given up while it was on its way
--- a/src/lab/runs/virtual_proxy.hpp
+++ b/src/lab/runs/virtual_proxy.hpp
@@ -29,7 +29,7 @@
     // A client's answer, as the network will bring it.
     std::function<void(const asking &, reply, double come_back, bool body_fits)> on_answer;
 
-    void kill(); // outright; start() begins it anew
+    void kill(bool planned = false); // outright, or at a planned end; start() begins it anew
     // Told to end: takes no more, answers what it holds (3 s at most), and is gone then.
     void end(std::function<void()> gone);
     bool takes() const { return up() && !ends_; }
--- a/src/lab/world/membership.cpp
+++ b/src/lab/world/membership.cpp
@@ -48,6 +48,11 @@
         on_change(what);
 }
 
+void member_list::load(const member &what) {
+    revision_ = std::max(revision_, what.revision);
+    members_.at(what.server) = what;
+}
+
 std::vector<member_list::member> member_list::since(std::uint64_t revision) const {
     std::vector<member> changed;
     for (const auto &each : members_)
--- a/src/lab/world/servers.cpp
+++ b/src/lab/world/servers.cpp
@@ -122,9 +122,7 @@
         const double can = of_.given.fleet.cores * speed_ * warmth() * cold.push_time;
         if (sent_.size() >= least_push && work > cold.push_limit * can) {
             of_.judge.fell(number_);
-            fallen_ = true;
-            cores_.clear();
-            return changed();
+            return fall();
         }
     }
     if (draining_)
@@ -139,6 +137,12 @@
     begin(what, done);
 }
 
+void cache_server::fall() {
+    fallen_ = true;
+    cores_.clear();
+    changed();
+}
+
 void cache_server::dialled() {
     const double work = of_.given.fleet.dial_work;
     if (work > 0 && up())
@@ -157,18 +161,12 @@
 // The server's own part is done: the effect of a write takes place, a read is there or is fetched.
 void cache_server::work_done(const job &what, const answer_to &done) {
     const auto life = life_;
-    if (what.write) {
-        if (of_.seen_before(what, number_))
-            return reply_with(done, {result::kind::completed, note::none});
-        of_.judge.ran(what.op, what.attempt, number_);
-        of_.source().fetch([this, life, what, done](bool there) {
-            if (there && what.keyed)
-                of_.wrote(what.key);
+    if (what.write)
+        return of_.write(what, number_, [this, life, done](bool seen, bool there) {
             if (life == life_)
-                reply_with(done, {there ? result::kind::completed : result::kind::error, note::none});
+                reply_with(done,
+                           {seen || there ? result::kind::completed : result::kind::error, note::none});
         });
-        return;
-    }
     if (!what.keyed || knows(what)) {
         of_.judge.ran(what.op, what.attempt, number_);
         return reply_with(done, {result::kind::completed, what.keyed ? note::hit : note::none});
@@ -184,7 +182,7 @@
     });
     if (waiting.size() > 1)
         return;
-    of_.source().fetch([this, life, key = what.key](bool there) {
+    of_.fetch([this, life, key = what.key](bool there) {
         if (life != life_)
             return;
         if (there)
@@ -306,6 +304,33 @@
         std::erase_if(troubles_, [&](const trouble &each) { return each.spoils && each.share == share; });
 }
 
+void set_model(cache_server &of, const fault_spec &fault, bool begins) {
+    switch (fault.kind) {
+    case fault_kind::crash:
+    case fault_kind::host_kill:
+        return of.crash(begins);
+    case fault_kind::join:
+        return of.crash(false);
+    case fault_kind::hang:
+    case fault_kind::host_stop:
+        return of.hang(begins);
+    case fault_kind::vanish:
+        return of.vanish(begins);
+    case fault_kind::slow:
+        return of.slow(fault.factor, begins);
+    case fault_kind::errors:
+        return of.errors(fault.factor, fault.use_case, begins);
+    case fault_kind::spoilt:
+        return of.spoilt(fault.factor, begins);
+    case fault_kind::one_way:
+        return of.one_way(begins);
+    case fault_kind::drain:
+        return of.refuse(begins);
+    default:
+        return;
+    }
+}
+
 // ---- The fleet
 
 fleet::fleet(timeline &with, const experiment &of, witness &by, std::uint32_t seed)
@@ -353,9 +378,30 @@
     return false;
 }
 
+void fleet::fetch(std::function<void(bool)> done) {
+    if (remote_fetch)
+        return remote_fetch(std::move(done));
+    origin_.fetch(std::move(done));
+}
+
+void fleet::write(const job &what, index server, std::function<void(bool, bool)> done) {
+    if (remote_write)
+        return remote_write(what, server, std::move(done));
+    if (seen_before(what, server))
+        return done(true, true);
+    judge.ran(what.op, what.attempt, server);
+    origin_.fetch([this, keyed = what.keyed, key = what.key, done](bool there) {
+        if (there && keyed)
+            wrote(key);
+        done(false, there);
+    });
+}
+
 void fleet::wrote(std::uint64_t key) {
     for (auto &each : servers_)
         each.drop(key);
+    if (on_wrote)
+        on_wrote(key);
 }
 
 } // namespace harrierpass::lab
--- a/src/lab/world/servers.hpp
+++ b/src/lab/world/servers.hpp
@@ -103,6 +103,7 @@
 
     void dialled(); // a new connection takes a core for its price
 
+    void fall(); // pushed over, seen by the process that it is in
     void start_cold(double started);
     void fill(std::uint64_t key); // as after a read
     void drop(std::uint64_t key);
@@ -153,6 +154,9 @@
     std::unordered_map<std::uint64_t, std::vector<std::function<void(bool)>>> fetching_; // by key
 };
 
+// A fault of a server as its model has it: all but what the list says of it.
+void set_model(cache_server &of, const fault_spec &fault, bool begins);
+
 // All servers, what they share, and what deduplication remembers.
 class fleet {
 public:
@@ -162,6 +166,16 @@
     index size() const { return static_cast<index>(servers_.size()); }
     origin &source() { return origin_; }
     const origin &source() const { return origin_; }
+    // What all servers share, for one of them. A read's value is fetched; a write takes effect at the origin, once
+    // where repeats are dropped, and voids all copies. `there`: the origin had room.
+    void fetch(std::function<void(bool there)> done);
+    void write(const job &what, index server, std::function<void(bool seen, bool there)> done);
+    void wrote(std::uint64_t key); // the copies are void
+    // Where origin and marks are in another process: these are asked instead.
+    std::function<void(std::function<void(bool there)>)> remote_fetch;
+    std::function<void(const job &, index server, std::function<void(bool seen, bool there)>)> remote_write;
+    std::function<void(std::uint64_t key)> on_wrote; // for copies that other processes hold
+
     // At the origin itself, in aside mode.
     void receive_at_origin(const job &what, answer_to done);
 
@@ -172,7 +186,6 @@
 private:
     friend class cache_server;
     bool seen_before(const job &what, index server); // and remembers it
-    void wrote(std::uint64_t key);
 
     origin origin_;
     std::deque<cache_server> servers_;
--- a/src/lab/world/spec.cpp
+++ b/src/lab/world/spec.cpp
@@ -568,6 +568,8 @@
         from.flag("together", proxies.together);
         from.flag("peers", proxies.peers);
     });
+    if (to.fleet.aside && to.fleet.hosts > 0)
+        top.refuse(nullptr, "fleet.aside and fleet.hosts do not go together: the origin fills the servers' stores");
     top.tables("use_case", [&](section &from) { read_use_case(from, to); });
     if (to.use_cases.empty())
         top.refuse(nullptr, "the experiment has no [[use_case]]");
@@ -629,6 +631,9 @@
     made.name = made.name.substr(0, made.name.rfind(".toml"));
     try {
         const toml::table all = laid_out(text, name, large, true);
+        std::ostringstream whole;
+        whole << all;
+        made.whole = whole.str();
         section top(all, "", name);
         read_whole(top, made);
         top.finish();
--- a/src/lab/world/spec.hpp
+++ b/src/lab/world/spec.hpp
@@ -200,6 +200,7 @@
 
 struct experiment {
     std::string name, about, text; // text: the file's own, which results carry a hash of
+    std::string whole;             // as laid out with its base, for parts of a run that are processes
     std::vector<std::uint32_t> seeds = {1};
     double length = 20, settle = 0; // s; nothing counts for service in the first `settle` of them
     fleet_spec fleet;
--- a/src/lab/world/witness.hpp
+++ b/src/lab/world/witness.hpp
@@ -5,7 +5,7 @@
 // times (judge/merge.hpp). Times are the speaker's clock, s.
 #pragma once
 
-#include "router/types.hpp"
+#include "lab/world/spec.hpp"
 
 #include <cstdint>
 
@@ -36,9 +36,17 @@
     virtual void over(operation op, index attempt, index server) = 0; // answered, or its connection ended
     virtual void ran(operation op, index attempt, index server) = 0;  // its effect took place
     virtual void fell(index server) = 0;                              // cold, and pushed over
+    virtual void died(index server) = 0; // its process was killed: what was out there is over
 
     // The list and the proxies.
     virtual void told(index proxy, index server, listing as) = 0;
+    // It ended, and its successor has heard of nothing. Killed: what it held is its clients' to try again.
+    virtual void restarted(index proxy, bool killed) = 0;
+    // It stands still by a fault: it cannot answer in time.
+    virtual void paused(index proxy, bool begins) = 0;
+    // A link between two ends is in trouble by a fault: what it held, and what an end could not see, is nobody's
+    // fault while that lasts and shortly after.
+    virtual void link_trouble(link_kind kind, index near, index far, bool begins) = 0;
 };
 
 } // namespace harrierpass::lab
