A dial ends before its query's end: answers came up to a dial limit late on cut links

Checked in the proxies' debug logs: called off at 19.366, dial begun at 19.388, client's end at 19.533, dial failed at 19.638, connection closed by the client. Ruled out: the relay (the dials were to servers that it drops on purpose), the list, held queries. At fault: upstream::dial_new waited for the whole dial limit, which nothing ends. Now a dial has at most what is left until 50 ms before the end, and one cut short says nothing of its server.

--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -27,6 +27,7 @@
 constexpr double source_pause = 15;       // s that a server may pause in a long answer; it may swap
 constexpr double sink_pause = 30;         // s that a side may take for a window of a long body
 constexpr double upload_linger = 2;       // s in which a client may read why its long body was turned off
+constexpr double answer_margin = 0.05; // s before the client's end in which no dial goes on
 constexpr double own_margin = 0.01; // s after the client's end; the router gives its final answer before
 constexpr double stall_share =
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
@@ -326,8 +327,12 @@
         count::ended_timed_out, count::ended_connect_error, count::ended_reset,
         count::ended_canceled,  count::ended_miss,          count::ended_miss};
     auto &desk = with_.decides;
-    auto to = with_.servers.take(now.server, desk.now());
+    // Guards the answer's time: nothing ends a dial, neither the client's end nor what is decided meanwhile.
+    const double dial_by = patience() - answer_margin;
+    auto to = with_.servers.take(now.server, desk.now(), dial_by - desk.now());
     execution_end come{outcome::connect_error, "dial_failed"};
+    if (!to.socket && desk.now() >= dial_by) // cut short, it says nothing of the server
+        come = {outcome::ignored, "out_of_time"};
     if (to.socket) {
         with_.count.add(count::sent);
         ++to.executions;
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -76,7 +76,7 @@
            peek(one.socket) != waiting::nothing;
 }
 
-server_connection upstream::take(index server, double now) {
+server_connection upstream::take(index server, double now, double most) {
     ended gone;
     server_connection found;
     {
@@ -97,13 +97,13 @@
     }
     close(gone, now);
     if (!found.socket)
-        return dial_new(server, now);
+        return dial_new(server, now, most);
     found.rested = now - found.used;
     counters_.add(count::server_kept_used);
     return found;
 }
 
-server_connection upstream::dial_new(index server, double now) {
+server_connection upstream::dial_new(index server, double now, double most) {
     std::optional<address> at;
     bool crowded;
     {
@@ -117,10 +117,11 @@
     made.server = server;
     made.since = made.used = now;
     counters_.add(count::server_dials);
+    const double limit = std::min(dial_limit_.load(), most);
     if (at)
-        made.socket = dial(*at, dial_limit_);
+        made.socket = dial(*at, limit);
     if (at && !made.socket && (errno == EMFILE || errno == ENFILE) && end_oldest(now))
-        made.socket = dial(*at, dial_limit_);
+        made.socket = dial(*at, limit);
     if (!made.socket) {
         counters_.add(count::server_dials_failed);
         const int why = errno;
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -5,6 +5,7 @@
 #include "base/counters.hpp"
 #include "base/log.hpp"
 #include "net/sockets.hpp"
+#include "net/threads.hpp"
 #include "router/types.hpp"
 
 #include <atomic>
@@ -57,9 +58,10 @@
         return true;
     }
 
-    // One that is kept, or a new one; without a socket where none came up.
-    server_connection take(index server, double now);
-    server_connection dial_new(index server, double now);
+    // One that is kept, or a new one; without a socket where none came up in time. `most`: s that the caller
+    // has for it, where that is less than the dial limit.
+    server_connection take(index server, double now, double most = forever);
+    server_connection dial_new(index server, double now, double most = forever);
     void keep(server_connection from, double now);
     void end(server_connection from, double now, const char *reason);
     void end_kept(index server, double now, const char *reason); // all that idle there
