--- a/src/lab/judge/figures.cpp
+++ b/src/lab/judge/figures.cpp
@@ -2,8 +2,14 @@
 #include "lab/judge/figures.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace harrierpass::lab {
+namespace {
+
+constexpr std::size_t first_seconds = 5; // of a run, told apart from the rest: a start's, a restart's
+
+} // namespace
 
 std::size_t most_within(const std::vector<double> &times, double width) {
     std::size_t most = 0, first = 0;
@@ -59,9 +65,10 @@
 }
 
 void fleet_figures::served(index proxy_zone, double worth, double asked) {
-    auto &of = zones_.at(proxy_zone);
-    of.first += worth;
-    of.second += asked;
+    auto &by_second = zones_.at(proxy_zone);
+    by_second.resize(std::max(by_second.size(), second() + 1));
+    by_second[second()].first += worth;
+    by_second[second()].second += asked;
 }
 
 std::vector<std::pair<std::string, double>> fleet_figures::all(std::uint64_t queries) const {
@@ -89,8 +96,17 @@
     }
     std::sort(over.begin(), over.end());
     double worst_zone = 1;
-    for (const auto &[worth, asked] : zones_)
+    double early = 0, early_asked = 0, later = 0, later_asked = 0;
+    for (const auto &zone : zones_) {
+        double worth = 0, asked = 0;
+        for (std::size_t i = 0; i < zone.size(); ++i) {
+            worth += zone[i].first;
+            asked += zone[i].second;
+            (i < first_seconds ? early : later) += zone[i].first;
+            (i < first_seconds ? early_asked : later_asked) += zone[i].second;
+        }
         worst_zone = asked > 0 ? std::min(worst_zone, worth / asked) : worst_zone;
+    }
     return {{"dials_a_query", dials / count},
             {"dials_most_1s", most},
             {"open_most", static_cast<double>(open_most_)},
@@ -104,7 +120,35 @@
             {"dead_probes", static_cast<double>(dead_probes_)},
             {"over_mean_p50", over.empty() ? 0 : over[over.size() / 2]},
             {"over_mean_most", over.empty() ? 0 : over.back()},
-            {"worst_zone", worst_zone}};
+            {"worst_zone", worst_zone},
+            {"first_5s", early_asked > 0 ? early / early_asked : 1},
+            {"after_5s", later_asked > 0 ? later / later_asked : 1}};
+}
+
+std::vector<std::pair<std::string, std::vector<double>>> fleet_figures::series() const {
+    const auto seconds = static_cast<std::size_t>(std::ceil(given_.length));
+    std::vector<std::pair<std::string, std::vector<double>>> made;
+    for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
+        std::vector<double> values(seconds, std::nan(""));
+        for (std::size_t i = 0; i < std::min(seconds, zones_[zone].size()); ++i)
+            if (zones_[zone][i].second > 0)
+                values[i] = zones_[zone][i].first / zones_[zone][i].second;
+        made.emplace_back("zone " + given_.fleet.zones[zone], std::move(values));
+    }
+    std::vector<double> dials(seconds), calls(seconds);
+    const auto add = [&](std::vector<double> &to, double when) {
+        const double at = when - began_;
+        if (at >= 0 && at < static_cast<double>(seconds))
+            ++to[static_cast<std::size_t>(at)];
+    };
+    for (const auto &server : dials_)
+        for (const double when : server)
+            add(dials, when);
+    for (const double when : calls_)
+        add(calls, when);
+    made.emplace_back("connections", std::move(dials));
+    made.emplace_back("list calls", std::move(calls));
+    return made;
 }
 
 } // namespace harrierpass::lab
--- a/src/lab/judge/figures.hpp
+++ b/src/lab/judge/figures.hpp
@@ -31,6 +31,7 @@
 
     // By name, in the order in which reports have them.
     std::vector<std::pair<std::string, double>> all(std::uint64_t queries) const;
+    std::vector<std::pair<std::string, std::vector<double>>> series() const; // by second
 
 private:
     std::size_t second() const;
@@ -43,7 +44,7 @@
     std::vector<std::uint64_t> open_;        // by server
     std::uint64_t open_most_ = 0, dead_dials_ = 0, dead_sends_ = 0, dead_probes_ = 0;
     std::uint64_t whole_ = 0, watch_ = 0, refused_ = 0, list_bytes_ = 0;
-    std::vector<std::pair<double, double>> zones_; // by zone: served, asked
+    std::vector<std::vector<std::pair<double, double>>> zones_; // by zone, second: served, asked
 };
 
 // The most of these times, in their order, that lie within any `width` s.
--- a/src/lab/judge/plot.cpp
+++ b/src/lab/judge/plot.cpp
@@ -33,7 +33,7 @@
 
 class picture {
 public:
-    picture(double length, const std::vector<fault_spec> &faults) : length_(length), faults_(faults) {
+    picture(double length, const std::vector<shade> &faults) : length_(length), faults_(faults) {
         body_ << std::fixed << std::setprecision(1);
     }
 
@@ -153,7 +153,7 @@
             const double from = x(each.at), to = x(each.lasts > 0 ? each.at + each.lasts : length_);
             body_ << "<rect x='" << from << "' y='" << at_ << "' width='" << std::max(1.0, to - from)
                   << "' height='" << panel << "' fill='#c8553d' fill-opacity='0.08'><title>"
-                  << name_of(each.kind) << "</title></rect>\n";
+                  << escaped(each.name) << "</title></rect>\n";
         }
         body_ << "<rect x='" << left << "' y='" << at_ << "' width='" << width - left - right << "' height='"
               << panel << "' fill='none' stroke='#999'/>\n<text x='" << left << "' y='" << at_ - 8
@@ -172,7 +172,7 @@
     }
 
     const double length_;
-    const std::vector<fault_spec> &faults_;
+    const std::vector<shade> &faults_;
     double at_ = top + 10;
     std::ostringstream body_;
 };
@@ -196,7 +196,7 @@
 
 } // namespace
 
-std::string plot_svg(const std::vector<run_result> &runs, const std::vector<fault_spec> &faults) {
+std::string plot_svg(const std::vector<run_result> &runs, const std::vector<shade> &faults) {
     std::vector<std::string> names;
     std::map<std::string, std::vector<const run_result *>> by_name;
     for (const auto &each : runs) {
@@ -224,6 +224,17 @@
     made.lines("service", service, 1, false, 0);
     made.lines("time of an answer, ms: p99, dashed p50", times, 0, true, 0.1);
     made.lines("origin fetches a second", fetches, 0, false, 0);
+    // Of the first variant's first run: figures by second that only a fleet has.
+    const auto &first = *by_name[names[0]][0];
+    std::vector<curve> zones, calls;
+    for (const auto &[name, values] : first.series) {
+        auto &to = name.starts_with("zone ") ? zones : calls;
+        to.push_back({name, values, colours[to.size() % colours.size()]});
+    }
+    if (zones.size() > 1)
+        made.lines("service by the proxies' zone", zones, 1, false, 0);
+    if (!calls.empty())
+        made.lines("new connections and list calls a second, all proxies", calls, 0, false, 0);
     made.heat(names[0] + ": executions in hand by server", by_name[names[0]][0]->in_hand);
     return made.text();
 }
--- a/src/lab/judge/plot.hpp
+++ b/src/lab/judge/plot.hpp
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-// Runs as one SVG picture: service, time of an answer, origin fetches over time, a line for each variant, and
-// what each server has in hand, a row each, for the first one.
+// Runs as one SVG picture: service, time of an answer, origin fetches over time, a line for each variant;
+// the whole fleet's service by zone, new connections and list calls, and what each server has in hand, a row
+// each, for the first one.
 #pragma once
 
 #include "lab/judge/result.hpp"
@@ -8,6 +9,6 @@
 namespace harrierpass::lab {
 
 // Runs of one experiment; of several seeds of a variant the mean is drawn. `faults` are shaded.
-std::string plot_svg(const std::vector<run_result> &runs, const std::vector<fault_spec> &faults);
+std::string plot_svg(const std::vector<run_result> &runs, const std::vector<shade> &faults);
 
 } // namespace harrierpass::lab
--- a/src/lab/judge/report.cpp
+++ b/src/lab/judge/report.cpp
@@ -11,6 +11,7 @@
 #include <iomanip>
 #include <map>
 #include <numeric>
+#include <set>
 #include <nlohmann/json.hpp>
 #include <ostream>
 #include <sstream>
@@ -93,11 +94,13 @@
         made["tenants"][name] = value;
     for (const auto &[name, value] : run.fleet)
         made["fleet"][name] = value;
+    for (const auto &[name, values] : run.series)
+        made["series"][name] = values;
     made["slots"] = {{"service", run.slot_service}, {"p50", run.slot_p50},         {"p99", run.slot_p99},
                      {"rate", run.slot_rate},       {"fetches", run.slot_fetches}, {"in_hand", run.in_hand}};
     json faults = json::array();
-    for (const auto &each : of.faults)
-        faults.push_back({{"kind", name_of(each.kind)}, {"at", each.at}, {"for", each.lasts}});
+    for (const auto &each : shades_of(of))
+        faults.push_back({{"kind", each.name}, {"at", each.at}, {"for", each.lasts}});
     made["faults"] = faults;
     return made.dump();
 }
@@ -107,6 +110,12 @@
     if (!in)
         throw bad_experiment(path + ": cannot be read");
     std::vector<stored_result> all;
+    const auto numbers = [](const json &of) {
+        std::vector<double> values;
+        for (const auto &each : of)
+            values.push_back(each.is_null() ? std::nan("") : each.get<double>());
+        return values;
+    };
     std::size_t number = 0;
     for (std::string line; std::getline(in, line);) {
         ++number;
@@ -136,12 +145,10 @@
                 for (const auto &[name, value] : from.at("fleet").items())
                     run.fleet.emplace_back(name, value);
             run.slot_length = from.at("slot_length");
-            const auto list = [&](const char *name) {
-                std::vector<double> values;
-                for (const auto &each : from.at("slots").at(name))
-                    values.push_back(each.is_null() ? std::nan("") : each.get<double>());
-                return values;
-            };
+            if (from.contains("series"))
+                for (const auto &[name, values] : from.at("series").items())
+                    run.series.emplace_back(name, numbers(values));
+            const auto list = [&](const char *name) { return numbers(from.at("slots").at(name)); };
             run.slot_service = list("service");
             run.slot_p50 = list("p50");
             run.slot_p99 = list("p99");
@@ -176,12 +183,71 @@
             text << "  RULE BROKEN " << name << ": " << value << " times\n";
     if (!run.void_because.empty())
         text << "  DOES NOT COUNT: " << run.void_because << '\n';
+    if (stories && !run.fleet.empty()) {
+        text << " ";
+        for (const auto &[name, value] : run.fleet)
+            text << ' ' << name << ' ' << std::setprecision(value == std::round(value) ? 0 : 3) << value;
+        text << '\n';
+    }
     if (stories)
         for (const auto &each : run.stories)
             text << each;
     to << text.str() << std::flush;
 }
 
+std::string fleet_table(const std::vector<run_result> &runs) {
+    // Columns in the order in which the figures came first; rows by experiment and variant.
+    std::vector<std::string> columns, rows;
+    std::map<std::pair<std::string, std::string>, std::vector<double>> cells;
+    std::map<std::string, std::set<std::uint32_t>> seeds;
+    for (const auto &each : runs) {
+        if (!each.void_because.empty())
+            continue;
+        const std::string row = each.experiment + (each.variant == "harrierpass" ? "" : ", " + each.variant);
+        const auto add = [&](const std::string &column, double value) {
+            if (std::find(columns.begin(), columns.end(), column) == columns.end())
+                columns.push_back(column);
+            cells[{row, column}].push_back(value);
+        };
+        if (std::find(rows.begin(), rows.end(), row) == rows.end())
+            rows.push_back(row);
+        seeds[row].insert(each.seed);
+        const auto count = static_cast<double>(std::max<std::uint64_t>(1, each.queries));
+        add("service", each.service);
+        add("rules", static_cast<double>(each.broken()));
+        add("fetches_a_query", static_cast<double>(each.fetches) / count);
+        add("p99_ms", each.p99 * 1000);
+        for (const auto &[name, value] : each.fleet)
+            add(name, value);
+    }
+    std::ostringstream text;
+    text << "| figure |";
+    for (const auto &row : rows)
+        text << ' ' << row << " (" << seeds[row].size() << ") |";
+    text << "\n| --- |";
+    for (std::size_t i = 0; i < rows.size(); ++i)
+        text << " --- |";
+    text << '\n';
+    for (const auto &column : columns) {
+        text << "| " << column << " |";
+        for (const auto &row : rows) {
+            const auto found = cells.find({row, column});
+            if (found == cells.end()) {
+                text << " - |";
+                continue;
+            }
+            // Rules broken are added up; all else is the seeds' median.
+            const double value = column == "rules"
+                                     ? std::accumulate(found->second.begin(), found->second.end(), 0.0)
+                                     : median(found->second);
+            const bool whole = std::fabs(value) >= 100 || value == std::round(value);
+            text << ' ' << std::fixed << std::setprecision(whole ? 0 : 3) << value << " |";
+        }
+        text << '\n';
+    }
+    return text.str();
+}
+
 std::vector<comparison> compare(const std::vector<run_result> &runs) {
     std::vector<std::string> experiments;
     std::map<std::string, std::vector<std::string>> variants; // in the order in which they came
--- a/src/lab/judge/result.hpp
+++ b/src/lab/judge/result.hpp
@@ -9,6 +9,20 @@
 
 namespace harrierpass::lab {
 
+// What is shaded in a picture: a fault.
+struct shade {
+    std::string name;
+    double at = 0, lasts = 0; // s; 0: to the end
+};
+inline std::vector<shade> shades_of(const experiment &of) {
+    std::vector<shade> made;
+    for (const auto &each : of.faults)
+        made.push_back({name_of(each.kind), each.at, each.lasts});
+    for (const auto &each : of.links)
+        made.push_back({name_of(each.kind), each.at, each.lasts});
+    return made;
+}
+
 // What a run came to; a line of JSON in the results.
 struct run_result {
     std::string experiment, variant, mode; // mode: "virtual" or "sockets"
@@ -23,6 +37,7 @@
     std::vector<std::pair<std::string, std::uint64_t>> proxies;     // their counts
     std::vector<std::pair<std::string, double>> use_cases, tenants; // service by name
     std::vector<std::pair<std::string, double>> fleet;              // figures of the whole fleet, by name
+    std::vector<std::pair<std::string, std::vector<double>>> series; // by second of the run; NaN: nothing there
     std::vector<std::string> stories;
     std::string void_because; // not empty: the run does not count
 
--- a/src/lab/load/client_port.cpp
+++ b/src/lab/load/client_port.cpp
@@ -114,6 +114,9 @@
         how != reply::completed ||
         answer.body().find("\"query\":\"" + to_id(query.op, query.attempt) + "\"") != std::string_view::npos;
     const bool keeps = head.keeps_alive() && answer.rest().empty();
+    // Guards the referee's sight: a second answer may come with the first in one read.
+    if (!answer.rest().empty())
+        judge_.answered(query.op, query.attempt, how, fits);
     if (keeps)
         proxies_[of.proxy].idle.push_back(on);
     else
--- /dev/null
+++ b/src/lab/processes/plant_proxy.cpp
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "lab/processes/plant_proxy.hpp"
+
+#include "lab/loop/channel.hpp"
+#include "lab/processes/answers.hpp"
+#include "lab/world/chance.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+
+namespace harrierpass::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr int plant_every = 20;      // chances to a planted fault
+constexpr double list_period = 0.05; // s between calls for the whole list
+constexpr double late_by = 0.5;      // s after a client's end
+
+class front {
+public:
+    front(plant breaks, const json &given)
+        : breaks_(breaks), chance_(7), discovery_(*parse_address(given.at("discovery").get<std::string>())),
+          listening_(must_listen(*parse_address(given.at("listen").get<std::string>()))) {
+        for (const auto &each : given.at("settings").at("useCases"))
+            if (each.at("effect") == "at_most_once")
+                once_.insert(each.at("name").get<std::string>());
+        sigset_t taken;
+        sigemptyset(&taken);
+        sigaddset(&taken, SIGTERM);
+        pthread_sigmask(SIG_BLOCK, &taken, nullptr);
+        signals_ = tcp_socket(signalfd(-1, &taken, SFD_CLOEXEC | SFD_NONBLOCK));
+        loop_.watch(signals_.get(), EPOLLIN, [this](std::uint32_t) { over_ = true; });
+        loop_.watch(listening_.get(), EPOLLIN, [this](std::uint32_t) { accept(); });
+        std::cerr << "started name=" << given.at("name").get<std::string>()
+                  << " listen=" << to_text(local_address(listening_)) << " plant=" << name_of(breaks) << std::endl;
+        ask_list();
+    }
+    void run() {
+        loop_.run([this] { return over_; });
+    }
+
+private:
+    struct server {
+        address at;
+        bool ready = true;
+        double started = 0;
+    };
+    struct query {
+        std::string text, id;
+        double end = 0;
+        bool once = false;
+    };
+    using link = std::shared_ptr<channel>;
+
+    bool now(plant which) { return breaks_ == which && ++chances_ % plant_every == 0; }
+
+    link connect(const address &to, std::function<void(const http_reader &)> came,
+                 std::function<void(bool reached)> failed) {
+        const auto made = std::make_shared<channel>(loop_, dial_soon(to), http_reader::side::answer);
+        made->tag = next_++;
+        open_[made->tag] = made;
+        made->on_message = [this, came](const link &on, const http_reader &answer) {
+            came(answer);
+            drop(on);
+        };
+        made->on_end = [this, failed](const link &on, channel::ending how) {
+            failed(how != channel::ending::failed);
+            drop(on);
+        };
+        made->start(true);
+        return made;
+    }
+    void drop(const link &on) {
+        on->end(false);
+        loop_.clock.after(0, [this, tag = on->tag] { open_.erase(tag); });
+    }
+
+    void ask_list() {
+        const auto again = [this] { loop_.clock.after(list_period, [this] { ask_list(); }); };
+        connect(
+            discovery_,
+            [this, again](const http_reader &answer) {
+                servers_.clear();
+                const json list = json::parse(answer.body());
+                for (const auto &each : list.at("members"))
+                    servers_.push_back({*parse_address(each.at("host_port").get<std::string>()),
+                                        each.at("phase") == "active",
+                                        each.at("up_since_ms").get<double>() / 1000});
+                again();
+            },
+            [again](bool) { again(); })
+            ->send("GET /catalog/members HTTP/1.1\r\nHost: list\r\n\r\n");
+    }
+
+    const server *choose() {
+        std::vector<const server *> ready;
+        for (const auto &each : servers_) {
+            if (breaks_ == plant::ignore_drain && !each.ready && chances_++ % 4 == 0)
+                return &each;
+            if (breaks_ == plant::push_cold && each.ready && each.started > loop_.clock.now() - 5)
+                return &each;
+            if (each.ready)
+                ready.push_back(&each);
+        }
+        return ready.empty() ? nullptr : ready[chance_.below(static_cast<std::uint32_t>(ready.size()))];
+    }
+
+    void send(const query &what, std::function<void(const http_reader &)> came, std::function<void(bool)> failed) {
+        const server *const to = choose();
+        if (to == nullptr)
+            return failed(false);
+        connect(to->at, std::move(came), std::move(failed))->send(what.text);
+    }
+    void send_unheard(const query &what) {
+        send(
+            what, [](const http_reader &) {}, [](bool) {});
+    }
+
+    void accept() {
+        address peer;
+        for (tcp_socket one; (one = accept_on(listening_, peer));) {
+            const auto made = std::make_shared<channel>(loop_, std::move(one), http_reader::side::request);
+            made->tag = next_++;
+            open_[made->tag] = made;
+            made->on_message = [this](const link &on, const http_reader &asked) { take(on, asked); };
+            made->on_end = [this](const link &on, channel::ending) { drop(on); };
+            made->start(false);
+        }
+    }
+
+    void take(const link &on, const http_reader &asked) {
+        const auto &head = asked.head();
+        if (head.target == "/_health")
+            return on->send(text_answer(servers_.empty() ? 503 : 200, {}, {}));
+        query what;
+        what.id = head.value("X-Request-Id");
+        what.end = loop_.clock.now() + deadline_seconds(head.value("X-Deadline"));
+        what.once = once_.contains(std::string(head.value("X-Class")));
+        what.text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\nHost: lab\r\n");
+        for (const auto &each : head.fields)
+            if (!is_hop_field(head, each.name) && !same_name(each.name, "Host") &&
+                !same_name(each.name, "Content-Length"))
+                what.text.append(each.name).append(": ").append(each.value).append("\r\n");
+        if (!asked.body().empty())
+            what.text.append("Content-Length: ").append(std::to_string(asked.body().size())).append("\r\n");
+        what.text.append("\r\n").append(asked.body());
+        if (now(plant::two_out))
+            send_unheard(what);
+        const std::weak_ptr<channel> client = on;
+        const auto say = [client](int status, std::string_view body) {
+            if (const auto to = client.lock(); to && to->open())
+                to->send(text_answer(status, {}, body));
+        };
+        send(
+            what,
+            [this, what, say](const http_reader &answer) {
+                const int status = answer.head().status == 503 ? 503 : answer.head().status == 200 ? 200 : 502;
+                std::string body(answer.body());
+                if (status == 200 && now(plant::lose))
+                    return;
+                if (status == 200 && now(plant::wrong_body))
+                    body = "{\"query\":\"q0-9\"}\n";
+                say(status, body);
+                if (now(plant::answer_twice))
+                    say(status, body);
+                if (status == 200 && what.once && breaks_ == plant::run_twice)
+                    send_unheard(what);
+                if (now(plant::late))
+                    loop_.clock.at(what.end + late_by, [this, what] { send_unheard(what); });
+            },
+            [say](bool reached) { say(reached ? 502 : 503, {}); });
+    }
+
+    const plant breaks_;
+    loop loop_;
+    chance chance_;
+    const address discovery_;
+    tcp_socket listening_, signals_;
+    std::set<std::string> once_; // use cases that must not run again
+    std::vector<server> servers_;
+    std::map<std::uint64_t, link> open_;
+    std::uint64_t next_ = 1;
+    int chances_ = 0;
+    bool over_ = false;
+};
+
+} // namespace
+
+int run_plant_proxy(plant breaks, const std::string &configuration) {
+    std::ifstream in(configuration);
+    if (!in)
+        throw bad_experiment(configuration + ": cannot be read");
+    front(breaks, json::parse(in)).run();
+    return 0;
+}
+
+} // namespace harrierpass::lab
--- a/src/lab/processes/process.cpp
+++ b/src/lab/processes/process.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cerrno>
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <spawn.h>
@@ -94,6 +95,10 @@
         line_.append(part.data(), static_cast<std::size_t>(got));
         for (std::size_t end; (end = line_.find('\n')) != std::string::npos; line_.erase(0, end + 1)) {
             const std::string line = line_.substr(0, end);
+            if (line.starts_with("counter ") && on_counter) {
+                const auto space = line.rfind(' ');
+                on_counter(line.substr(8, space - 8), std::strtod(line.c_str() + space, nullptr));
+            }
             const auto at = line.find(" listen=");
             if (line.find("started name=") == std::string::npos || at == std::string::npos)
                 continue;
--- a/src/lab/program/main.cpp
+++ b/src/lab/program/main.cpp
@@ -2,6 +2,7 @@
 // harrierlab: the laboratory's command line. Exit codes: 0 all is well; 1 a rule was broken; 2 the command
 // line or an experiment is not usable; 3 the machine was too slow for the run, which does not count.
 #include "lab/processes/part.hpp"
+#include "lab/processes/plant_proxy.hpp"
 #include "lab/runs/deciders.hpp"
 #include "lab/program/fleet_shell.hpp"
 #include "lab/judge/plot.hpp"
@@ -97,7 +98,7 @@
 }
 
 void write_plot(const std::string &path, const std::vector<run_result> &runs,
-                const std::vector<fault_spec> &faults) {
+                const std::vector<shade> &faults) {
     std::ofstream to(path);
     to << plot_svg(runs, faults);
     if (!to.flush())
@@ -126,7 +127,7 @@
         all.insert(all.end(), runs.begin(), runs.end());
         if (!how.plot.empty())
             write_plot(how.files.size() == 1 ? how.plot : how.plot + "/" + given.name + ".svg", runs,
-                       given.faults);
+                       shades_of(given));
     }
     if (compares || all.size() > 1)
         print(std::cout, compare(all));
@@ -180,6 +181,8 @@
     auto *const plots = app.add_subcommand("plot", "draws results (JSON lines) as SVG");
     plots->add_option("results", from, "a file of results")->required();
     plots->add_option("--to", to, "the SVG")->required();
+    auto *const tables = app.add_subcommand("table", "results (JSON lines) as a table of the fleet's figures");
+    tables->add_option("results", from, "a file of results")->required();
     shell_options shell;
     std::string file;
     auto *const fleets =
@@ -212,9 +215,10 @@
     std::string setup;
     auto *const parts = app.add_subcommand("part", "a part of a run's world, started by the run");
     parts->add_option("setup", setup, "a file that the run wrote")->required();
-    std::string by, configuration;
+    std::string by = "module", breaks, configuration;
     auto *const proxies = app.add_subcommand("proxy", "the proxy with a baseline in the place of its module");
-    proxies->add_option("--by", by, "module, random, least_of_two or plain_ring")->required();
+    proxies->add_option("--by", by, "module, random, least_of_two or plain_ring");
+    proxies->add_option("--plant", breaks, "a stand-in that breaks a rule on purpose, by its plant's name");
     proxies->add_option("configuration", configuration, "the proxy's")->required();
     try {
         app.parse(arguments, values);
@@ -231,7 +235,8 @@
         if (*fleets)
             return serve_fleet(read_experiment(file), shell);
         if (*proxies)
-            return be_proxy(by, configuration);
+            return breaks.empty() ? be_proxy(by, configuration)
+                                  : run_plant_proxy(plant_of(breaks), configuration);
         if (*loads) {
             experiment given = read_experiment(file);
             given.load.rate = rate >= 0 ? rate : given.load.rate;
@@ -246,6 +251,10 @@
         std::vector<run_result> all;
         for (auto &each : read_results(from))
             all.push_back(std::move(each.run));
+        if (*tables) {
+            std::cout << fleet_table(all);
+            return well;
+        }
         write_plot(to, all, {});
         return well;
     } catch (const std::exception &bad) {
--- a/src/lab/runs/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -13,6 +13,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <sys/resource.h>
 
 namespace harrierpass::lab {
@@ -160,6 +161,10 @@
             {"cpu_ns_a_query", static_cast<std::uint64_t>(cpu * 1e9 / static_cast<double>(count))},
             {"resident_kb", resident},
             {"client_dials", port_.dials()}};
+        // What nobody but a proxy sees, from the counters of those that ran to the end.
+        for (const auto &[name, as] : {std::pair("server_dials_failed", "dials_failed"),
+                                       std::pair("probes_sent", "probes"), std::pair("lists_lost", "lists_lost")})
+            made.fleet.emplace_back(as, counted_[name]);
         made.fleet.emplace_back("all_up_s", all_up);
         made.fleet.emplace_back("all_ended_s", all_ended);
         made.fleet.emplace_back("proxy_cpu_s_p50", cpus.empty() ? 0 : cpus[cpus.size() / 2]);
@@ -199,6 +204,7 @@
             if (const auto weight = weigh(each.process->pid()))
                 each.resident_kb = weight->resident_kb;
             each.process->signal(SIGCONT);
+            each.process->signal(SIGUSR1); // its counters
             each.process->signal(SIGTERM);
         }
         const double limit = loop_.clock.now() + end_limit;
@@ -236,13 +242,18 @@
         }
         if (!here.process) {
             std::vector<std::string> command = {how_.program, path + ".json"};
-            if (as_.by != decider::module)
+            if (as_.breaks != plant::nothing)
+                command = {how_.self, "proxy", "--plant", name_of(as_.breaks), path + ".json"};
+            else if (as_.by != decider::module)
                 command = {how_.self, "proxy", "--by", name_of(as_.by), path + ".json"};
             here.process = std::make_unique<child_process>(loop_, command, path + ".log");
             here.process->on_listening = [this, number](const address &at) {
                 proxies_[number].at = at;
                 look(number);
             };
+            here.process->on_counter = [this](const std::string &name, double value) {
+                counted_[name] += value;
+            };
             here.process->on_exit = [this, number] {
                 auto &left = proxies_[number];
                 if (left.ends)
@@ -337,6 +348,7 @@
     fleet_ports fleet_;
     client_port port_;
     chance seeds_;
+    std::map<std::string, double> counted_; // by the proxies, in all
     std::uint64_t crashes_ = 0;
     std::unordered_map<index, std::shared_ptr<channel>> looks_;
     std::vector<proxy_here> proxies_;
@@ -353,8 +365,6 @@
 
 run_result run_on_sockets(const experiment &given, const variant_spec &as, std::uint32_t seed,
                           const socket_options &how) {
-    if (as.breaks != plant::nothing)
-        throw bad_experiment(given.name + ": planted faults are for virtual time only");
     return whole_run(given, as, seed, how).run();
 }
 
--- a/src/lab/runs/stage.cpp
+++ b/src/lab/runs/stage.cpp
@@ -239,6 +239,7 @@
     for (std::size_t i = 0; i < given.tenants.size(); ++i)
         made.tenants.emplace_back(given.tenants[i].name, share(people.tenants()[i]));
     made.fleet = figures.all(made.queries);
+    made.series = figures.series();
     made.slot_length = people.slot_length();
     for (std::size_t i = 0; i < people.slots().size(); ++i) {
         const auto &part = people.slots()[i];
--- a/src/lab/runs/virtual_run.cpp
+++ b/src/lab/runs/virtual_run.cpp
@@ -130,6 +130,8 @@
     proxy_counts sum;
     for (const auto &each : proxies)
         sum.add(each.counts());
+    made.fleet.emplace_back("dials_failed", sum.connect_errors);
+    made.fleet.emplace_back("probes", sum.probes);
     made.fleet.emplace_back("found_p50_s", sum.found_after.percentile(50));
     made.fleet.emplace_back("found_p99_s", sum.found_after.percentile(99));
     made.proxies = {{"sent", sum.sent},
--- a/src/lab/world/spec.cpp
+++ b/src/lab/world/spec.cpp
@@ -610,6 +610,17 @@
     return word_of(end_names, kind);
 }
 
+const char *name_of(plant which) {
+    return word_of(plant_names, which);
+}
+
+plant plant_of(const std::string &name) {
+    for (const auto &[known, which] : plant_names)
+        if (name == known)
+            return which;
+    throw bad_experiment("\"" + name + "\" is no plant");
+}
+
 index host_of(const experiment &given, index server) {
     return given.fleet.hosts > 0 ? server % given.fleet.hosts : none;
 }
--- a/src/lab/world/spec.hpp
+++ b/src/lab/world/spec.hpp
@@ -237,5 +237,7 @@
 // Whether a fault has an end of its own besides its beginning.
 bool has_end(const fault_spec &fault);
 const char *name_of(decider by);
+const char *name_of(plant which);
+plant plant_of(const std::string &name); // throws bad_experiment
 
 } // namespace harrierpass::lab
