--- a/src/lab/runs/virtual_proxy.cpp
+++ b/src/lab/runs/virtual_proxy.cpp
@@ -38,6 +38,7 @@
     false_called_off += that.false_called_off;
     false_probes += that.false_probes;
     found += that.found;
+    lists_lost += that.lists_lost;
     found_after.add(that.found_after);
 }
 
@@ -171,6 +172,7 @@
         close_connections(i);
     service_.drop(list_token_);
     ++list_call_;
+    list_out_ = false;
     router_.reset();
 }
 
@@ -577,6 +579,8 @@
 void virtual_proxy::subscribe() {
     watching_ = false;
     if (given_.list.form == list_form::central) {
+        if (list_out_) // one call at a time, as the catalog has it
+            return;
         revision_ = 0;
         return call_list();
     }
@@ -611,6 +615,7 @@
 // router, which says when to ask again.
 void virtual_proxy::call_list() {
     const std::uint64_t call = ++list_call_;
+    list_out_ = true;
     const bool watches = revision_ > 0;
     const double limit = std::clamp(given_.list.drain_grace * grace_share, least_list, most_list);
     clock_.after(limit + (watches ? watch_wait : 0), [this, life = life_, call] {
@@ -622,6 +627,14 @@
     });
     if (!links_.comes_up(to_list()))
         return;
+    if (!service_.up())
+        return clock_.after(2 * given_.network.one_way, [this, life = life_, call] {
+            if (life == life_)
+                event([this, life, call] {
+                    if (life == life_)
+                        list_lost(call);
+                });
+        });
     const auto stands = [this, life = life_, call] { return life == life_ && call == list_call_; };
     const auto answer = [this, life = life_, call, stands](const list_answer &with) {
         const auto bytes = static_cast<std::size_t>(answer_bytes +
@@ -656,10 +669,12 @@
     if (with.refused)
         return list_lost(call);
     ++list_call_;
+    list_out_ = false;
+    const std::uint64_t known = list_call_;
     revision_ = with.revision;
     if (with.whole || !with.members.empty())
         tell(with.whole ? list_kind::whole : list_kind::changes, with.members);
-    if (up())
+    if (up() && known == list_call_ && !list_out_)
         call_list();
 }
 
@@ -667,6 +682,7 @@
     if (call != list_call_)
         return;
     ++list_call_;
+    list_out_ = false;
     service_.drop(list_token_);
     tell(list_kind::lost, {});
 }
@@ -701,6 +717,7 @@
 
 void virtual_proxy::tell(list_kind kind, const std::vector<membership::member> &members) {
     std::vector<list_entry> entries;
+    counts_.lists_lost += kind == list_kind::lost;
     if (kind == list_kind::whole) // what a whole list leaves out is gone
         for (const auto &each : list_.all())
             if (each.state == listing::gone)
--- a/src/lab/runs/virtual_proxy.hpp
+++ b/src/lab/runs/virtual_proxy.hpp
@@ -14,7 +14,7 @@
 struct proxy_counts {
     std::uint64_t sent = 0, completed = 0, rejected = 0, aborted = 0, called_off = 0, timed_out = 0,
                   resets = 0, connect_errors = 0, errors = 0, full = 0, probes = 0, probes_failed = 0,
-                  false_called_off = 0, false_probes = 0, found = 0;
+                  false_called_off = 0, false_probes = 0, found = 0, lists_lost = 0;
     histogram found_after; // s from a server's trouble to this proxy's first suspicion of it
     void add(const proxy_counts &that);
 };
@@ -100,6 +100,7 @@
     bool ends_ = false;
     // A central list service: the call that is out, and the revision that is known (0: none).
     std::uint64_t list_call_ = 0, list_token_ = 0, revision_ = 0;
+    bool list_out_ = false;
     std::unique_ptr<router> router_;
     std::uint64_t life_ = 0, serial_ = 0;
     std::vector<held> held_;
--- a/src/lab/runs/virtual_run.cpp
+++ b/src/lab/runs/virtual_run.cpp
@@ -60,9 +60,10 @@
     };
     all.on_list_stop = [&](bool begins) { all.list.silent(begins); };
     all.on_list_kill = [&](bool begins) {
-        all.list.silent(begins);
+        if (given.list.form == list_form::agent)
+            return all.list.silent(begins);
         if (!begins)
-            return;
+            return all.service.rise();
         all.service.die();
         for (auto &each : proxies)
             each.list_broken();
@@ -132,6 +133,7 @@
         sum.add(each.counts());
     made.fleet.emplace_back("dials_failed", sum.connect_errors);
     made.fleet.emplace_back("probes", sum.probes);
+    made.fleet.emplace_back("lists_lost", sum.lists_lost);
     made.fleet.emplace_back("found_p50_s", sum.found_after.percentile(50));
     made.fleet.emplace_back("found_p99_s", sum.found_after.percentile(99));
     made.proxies = {{"sent", sum.sent},
--- a/src/lab/world/list_service.cpp
+++ b/src/lab/world/list_service.cpp
@@ -19,7 +19,7 @@
 
 std::uint64_t list_service::call(std::optional<std::uint64_t> since, double wait, done_to done) {
     const std::uint64_t number = next_++;
-    if (!list_.answers())
+    if (!list_.answers() || !up_)
         return number;
     const auto serve = [this, number, since, wait, done, life = life_] {
         if (life != life_ || waiting_.erase(number) == 0 || !list_.answers())
@@ -75,6 +75,7 @@
 
 void list_service::die() {
     ++life_;
+    up_ = false;
     watching_.clear();
     waiting_.clear();
     workers_.clear();
--- a/src/lab/world/list_service.hpp
+++ b/src/lab/world/list_service.hpp
@@ -29,7 +29,9 @@
     std::uint64_t call(std::optional<std::uint64_t> since, double wait, done_to done);
     void drop(std::uint64_t call); // its connection ended
     void changed();                // the list: open watches are answered
-    void die();                    // all calls are gone with the process
+    void die();                    // all calls are gone with the process, and nobody is there
+    void rise() { up_ = true; }    // another process is
+    bool up() const { return up_; }
     std::size_t watches() const { return watching_.size(); }
 
 private:
@@ -47,6 +49,7 @@
     std::map<std::uint64_t, watch> watching_; // by call, in their order
     std::map<std::uint64_t, bool> waiting_;   // calls that a worker has or will have
     std::uint64_t next_ = 1, life_ = 0;
+    bool up_ = true;
 };
 
 } // namespace harrierpass::lab
