--- a/src/lab/judge/figures.hpp
+++ b/src/lab/judge/figures.hpp
@@ -24,9 +24,9 @@
     void dialled(index server, bool there);
     void opened(index server);
     void closed(index server);
-    void execution(index server);               // came to a server
-    void sent_to_dead(bool probe);              // an execution that found nobody, or a probe
-    void called(list_call as, std::size_t bytes); // what the list service made of a call
+    void execution(index server);                              // came to a server
+    void sent_to_dead(bool probe);                             // an execution that found nobody, or a probe
+    void called(list_call as, std::size_t bytes);              // what the list service made of a call
     void served(index proxy_zone, double worth, double asked); // a client's query, settled
 
     // By name, in the order in which reports have them.
@@ -38,10 +38,10 @@
     const timeline &clock_;
     const experiment &given_;
     double began_ = 0;
-    std::vector<std::vector<double>> dials_; // by server: when
-    std::vector<double> calls_;              // of the list: when
+    std::vector<std::vector<double>> dials_;             // by server: when
+    std::vector<double> calls_;                          // of the list: when
     std::vector<std::vector<std::uint32_t>> executions_; // by server, second
-    std::vector<std::uint64_t> open_;        // by server
+    std::vector<std::uint64_t> open_;                    // by server
     std::uint64_t open_most_ = 0, dead_dials_ = 0, dead_sends_ = 0, dead_probes_ = 0;
     std::uint64_t whole_ = 0, watch_ = 0, refused_ = 0, list_bytes_ = 0;
     std::vector<std::vector<std::pair<double, double>>> zones_; // by zone, second: served, asked
--- a/src/lab/judge/merge.cpp
+++ b/src/lab/judge/merge.cpp
@@ -42,7 +42,7 @@
 }
 
 void writer::note(seen what) {
-    what.when = clock_.now();
+    what.when = now_();
     to_(what);
 }
 
--- a/src/lab/judge/merge.hpp
+++ b/src/lab/judge/merge.hpp
@@ -47,7 +47,10 @@
 // Takes down what a process sees, and hands each event on at once.
 class writer : public witness {
 public:
-    writer(const timeline &clock, std::function<void(const seen &)> to) : clock_(clock), to_(std::move(to)) {}
+    // `now`: the machine's time at this very moment. A loop's own, which stands while it works through what
+    // has come, would put an answer to another process's message before that message.
+    writer(std::function<double()> now, std::function<void(const seen &)> to)
+        : now_(std::move(now)), to_(std::move(to)) {}
     void asked(operation op, index attempt, index proxy, index use_case, double end) override;
     void answered(operation op, index attempt, reply how, bool body_fits) override;
     void unanswered(operation op, index attempt) override;
@@ -66,7 +69,7 @@
 
 private:
     void note(seen what);
-    const timeline &clock_;
+    std::function<double()> now_;
     std::function<void(const seen &)> to_;
 };
 
@@ -87,7 +90,8 @@
     timeline &clock_;
     witness &judge_;
     std::vector<double> heard_; // by source
-    // By time, then source, then the order in which a source told it: equal times do not hang on the way here.
+    // By time, then source, then the order in which a source told it: equal times do not hang on the way
+    // here.
     std::map<std::tuple<double, std::size_t, std::uint64_t>, seen> events_;
     std::uint64_t order_ = 0;
 };
--- a/src/lab/judge/referee.hpp
+++ b/src/lab/judge/referee.hpp
@@ -100,7 +100,7 @@
         index attempt, proxy, out = 0;
         double end, asked;
         bool answered = false, excused = false, gone = false; // gone: its client left before an answer
-        index out_at = none; // the server that the latest one is at
+        index out_at = none;                                  // the server that the latest one is at
     };
     struct run_of { // one execution
         index attempt, server;
@@ -135,9 +135,9 @@
     const double slack_;
     std::unordered_map<operation, record> records_; // nothing depends on its order
     std::deque<std::pair<double, operation>> settled_;
-    std::vector<std::vector<notice>> told_; // by proxy, server
-    std::vector<index> paused_;             // by proxy: faults that hold it now
-    std::vector<double> paused_until_;      // by proxy
+    std::vector<std::vector<notice>> told_;           // by proxy, server
+    std::vector<index> paused_;                       // by proxy: faults that hold it now
+    std::vector<double> paused_since_, paused_until_; // by proxy
     std::map<std::tuple<link_kind, index, index>, trouble> links_;
     std::array<std::uint64_t, static_cast<std::size_t>(rule::total)> broken_{};
     std::vector<std::string> stories_;
--- a/src/lab/judge/report.cpp
+++ b/src/lab/judge/report.cpp
@@ -10,10 +10,10 @@
 #include <fstream>
 #include <iomanip>
 #include <map>
-#include <numeric>
-#include <set>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <ostream>
+#include <set>
 #include <sstream>
 
 namespace harrierpass::lab {
--- a/src/lab/judge/report.hpp
+++ b/src/lab/judge/report.hpp
@@ -22,8 +22,8 @@
 
 void print(std::ostream &to, const run_result &run, bool stories);
 
-// Figures of the whole fleet as a table in Markdown, medians over the seeds (rules broken: their sum), a column an
-// experiment.
+// Figures of the whole fleet as a table in Markdown, medians over the seeds (rules broken: their sum), a
+// column an experiment.
 std::string fleet_table(const std::vector<run_result> &runs);
 
 // One variant against another, on the seeds that both have.
--- a/src/lab/judge/result.hpp
+++ b/src/lab/judge/result.hpp
@@ -37,7 +37,8 @@
     std::vector<std::pair<std::string, std::uint64_t>> proxies;     // their counts
     std::vector<std::pair<std::string, double>> use_cases, tenants; // service by name
     std::vector<std::pair<std::string, double>> fleet;              // figures of the whole fleet, by name
-    std::vector<std::pair<std::string, std::vector<double>>> series; // by second of the run; NaN: nothing there
+    std::vector<std::pair<std::string, std::vector<double>>>
+        series; // by second of the run; NaN: nothing there
     std::vector<std::string> stories;
     std::string void_because; // not empty: the run does not count
 
--- a/src/lab/links/relay.hpp
+++ b/src/lab/links/relay.hpp
@@ -62,7 +62,7 @@
         std::uint64_t tag;
         link_id of;
         side near, far;
-        flow flows[2]; // by direction
+        flow flows[2];    // by direction
         bool cut = false; // half open: the far end is dead
     };
     struct link {
--- a/src/lab/load/clients.cpp
+++ b/src/lab/load/clients.cpp
@@ -131,11 +131,13 @@
     bool sent = false;
     for (index i = 0; i < count && !sent; ++i) {
         of.now.proxy = (first + i) % count;
-        sent = send(of.now);
+        sent = there(of.now.proxy);
     }
     if (!sent) // nobody is there: the client comes back like one that was cut off
         return again(op, given_.load.impatient);
+    // Told first: what comes of it may be seen elsewhere before this thread goes on.
     judge_.asked(op, of.now.attempt, of.now.proxy, of.now.use_case, of.now.end);
+    send(of.now);
     clock_.at(of.now.end + slack, [this, op, attempt = of.now.attempt] {
         const auto late = open_.find(op);
         if (late == open_.end() || late->second.now.attempt != attempt || late->second.waits)
--- a/src/lab/load/clients.hpp
+++ b/src/lab/load/clients.hpp
@@ -44,11 +44,13 @@
     void burst(double factor, bool begins) { burst_ *= begins ? factor : 1 / factor; }
     void flood(index tenant, double factor, bool begins) { floods_[tenant] *= begins ? factor : 1 / factor; }
 
-    // The link's: carries a try; false: that proxy is known not to be there, and another one is tried.
-    std::function<bool(const asking &)> send;
+    // The link's: whether a proxy is known to be there, else another one is tried; carries a try.
+    std::function<bool(index proxy)> there;
+    std::function<void(const asking &)> send;
     std::function<void(const asking &)> leave; // the client gives the try up
 
-    // What came of a query: the proxy that had it last, the importance that was served and that was asked for.
+    // What came of a query: the proxy that had it last, the importance that was served and that was asked
+    // for.
     std::function<void(index proxy, double served, double asked)> on_settled;
 
     // For the link: what came of a try. `cut`: its connection ended with no whole answer.
@@ -91,8 +93,8 @@
     const experiment &given_;
     witness &judge_;
     chance chance_, retries_;
-    std::vector<double> sums_; // of popularity, by rank
-    std::vector<double> uses_; // of shares, by use case
+    std::vector<double> sums_;  // of popularity, by rank
+    std::vector<double> uses_;  // of shares, by use case
     std::vector<double> parts_; // of the load, by proxy; empty: all alike
     std::vector<double> floods_;
     double began_ = 0, next_due_ = 0, burst_ = 1, slot_length_ = 1;
--- a/src/lab/loop/loop.cpp
+++ b/src/lab/loop/loop.cpp
@@ -21,10 +21,11 @@
 } // namespace
 
 loop::loop(double offset)
-    : offset_(offset != 0
-                  ? offset
-                  : std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
-                        steady_now()),
+    : offset_(
+          offset != 0
+              ? offset
+              : std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count() -
+                    steady_now()),
       epoll_(epoll_create1(EPOLL_CLOEXEC)) {
     if (epoll_ < 0)
         throw std::system_error(errno, std::generic_category(), "no epoll");
--- a/src/lab/loop/loop.hpp
+++ b/src/lab/loop/loop.hpp
@@ -20,6 +20,9 @@
     loop &operator=(const loop &) = delete;
 
     timeline clock;
+    double exact() const {
+        return unix_now();
+    } // s; the clock's own stands while what has come is worked through
 
     // `what` is called with the epoll events that came. One entry a descriptor.
     void watch(int fd, std::uint32_t events, std::function<void(std::uint32_t)> what);
--- a/src/lab/processes/fleet_ports.cpp
+++ b/src/lab/processes/fleet_ports.cpp
@@ -49,7 +49,8 @@
             continue;
         }
         servers_.push_back(std::make_unique<server_port>(
-            in, of.servers, i, loopback(where.first_server > 0 ? where.first_server + static_cast<int>(i) : 0)));
+            in, of.servers, i,
+            loopback(where.first_server > 0 ? where.first_server + static_cast<int>(i) : 0)));
         servers_.back()->on_connection = [this](index server, bool begins) {
             if (begins) {
                 stage_.figures.dialled(server, true);
@@ -69,7 +70,9 @@
         lists_.push_back(std::make_unique<list_port>(
             in, of.given, of.list, of.service, of.sees, i,
             loopback(where.first_list > 0 ? where.first_list + static_cast<int>(i) : 0), where_));
-        lists_.back()->on_call = [this](list_call as, std::size_t bytes) { stage_.figures.called(as, bytes); };
+        lists_.back()->on_call = [this](list_call as, std::size_t bytes) {
+            stage_.figures.called(as, bytes);
+        };
         list_addresses_.push_back(*parse_address(lists_.back()->at()));
     }
     of.list.on_change = [this](const membership::member &) { stage_.service.changed(); };
@@ -298,7 +301,7 @@
         return part.stop(stopped_[host] > 0);
     }
     if (begins && killed_[host]++ == 0) {
-        const double before = loop_.clock.now();
+        const double before = loop_.exact();
         part.kill();
         // Later than all that it had written, and earlier than what anybody does for its death.
         seen died;
--- a/src/lab/processes/fleet_ports.hpp
+++ b/src/lab/processes/fleet_ports.hpp
@@ -26,7 +26,8 @@
 public:
     fleet_ports(loop &in, stage &of, const fleet_places &where = {}, const part_options &parts = {});
     ~fleet_ports();
-    // Where a proxy finds the list and a server, and where clients find a proxy: over its link, if it has one.
+    // Where a proxy finds the list and a server, and where clients find a proxy: over its link, if it has
+    // one.
     std::string list_at(index proxy) const;
     std::string server_at(index server) const { return hosts_.at(server); }
     address proxy_at(index proxy, const address &itself);
--- a/src/lab/processes/list_port.hpp
+++ b/src/lab/processes/list_port.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// The list service on sockets: an address for each proxy, so that it is known who was told what; behind all of
-// them one service (world/list_service.hpp).
+// The list service on sockets: an address for each proxy, so that it is known who was told what; behind all
+// of them one service (world/list_service.hpp).
 #pragma once
 
 #include "lab/judge/figures.hpp"
--- a/src/lab/processes/part.cpp
+++ b/src/lab/processes/part.cpp
@@ -174,12 +174,13 @@
     part_here(const json &setup, const experiment &given)
         : given_(given), loop_(setup.at("offset").get<double>()),
           link_(loop_, tcp_socket(child_process::control_place), true),
-          sees_(loop_.clock, [this](const seen &what) {
-              part_message made;
-              made.is = part_message::kind::event;
-              made.event = what;
-              link_.send(made);
-          }) {
+          sees_([this] { return loop_.exact(); },
+                [this](const seen &what) {
+                    part_message made;
+                    made.is = part_message::kind::event;
+                    made.event = what;
+                    link_.send(made);
+                }) {
         sigset_t taken;
         sigemptyset(&taken);
         sigaddset(&taken, SIGTERM);
--- a/src/lab/processes/part.hpp
+++ b/src/lab/processes/part.hpp
@@ -73,9 +73,9 @@
 public:
     part_process(loop &in, event_merge &events, std::vector<std::string> command, std::string log);
     void start();
-    void kill();                       // outright; what it had written is heard first
-    void stop(bool begins);            // SIGSTOP, SIGCONT
-    void end();                        // told to; it is waited for by runs()
+    void kill();            // outright; what it had written is heard first
+    void stop(bool begins); // SIGSTOP, SIGCONT
+    void end();             // told to; it is waited for by runs()
     bool runs() const { return process_.runs(); }
     bool ready() const { return ready_; }
     void send(const part_message &what);
--- a/src/lab/processes/plant_proxy.hpp
+++ b/src/lab/processes/plant_proxy.hpp
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-// A stand-in for a proxy on sockets that breaks one rule on purpose, every so many chances, so that the referee
-// over processes can be shown to see it. It deals queries out over the ready servers by chance and knows
-// nothing else; without a plant it breaks no rule.
+// A stand-in for a proxy on sockets that breaks one rule on purpose, every so many chances, so that the
+// referee over processes can be shown to see it. It deals queries out over the ready servers by chance and
+// knows nothing else; without a plant it breaks no rule.
 #pragma once
 
 #include "lab/world/spec.hpp"
--- a/src/lab/processes/server_port.hpp
+++ b/src/lab/processes/server_port.hpp
@@ -17,7 +17,7 @@
     server_port(loop &in, fleet &of, index number, const address &at);
     ~server_port();
     std::string at() const { return to_text(at_); }
-    void follow(); // the model's state has changed
+    void follow();                                                // the model's state has changed
     std::function<void(index server, bool begins)> on_connection; // one came, or is over
 
 private:
--- a/src/lab/program/main.cpp
+++ b/src/lab/program/main.cpp
@@ -1,12 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 // harrierlab: the laboratory's command line. Exit codes: 0 all is well; 1 a rule was broken; 2 the command
 // line or an experiment is not usable; 3 the machine was too slow for the run, which does not count.
+#include "lab/judge/plot.hpp"
+#include "lab/judge/report.hpp"
 #include "lab/processes/part.hpp"
 #include "lab/processes/plant_proxy.hpp"
-#include "lab/runs/deciders.hpp"
 #include "lab/program/fleet_shell.hpp"
-#include "lab/judge/plot.hpp"
-#include "lab/judge/report.hpp"
+#include "lab/runs/deciders.hpp"
 #include "lab/runs/socket_run.hpp"
 #include "lab/runs/virtual_run.hpp"
 
@@ -181,7 +181,8 @@
     auto *const plots = app.add_subcommand("plot", "draws results (JSON lines) as SVG");
     plots->add_option("results", from, "a file of results")->required();
     plots->add_option("--to", to, "the SVG")->required();
-    auto *const tables = app.add_subcommand("table", "results (JSON lines) as a table of the fleet's figures");
+    auto *const tables =
+        app.add_subcommand("table", "results (JSON lines) as a table of the fleet's figures");
     tables->add_option("results", from, "a file of results")->required();
     shell_options shell;
     std::string file;
--- a/src/lab/world/list_service.hpp
+++ b/src/lab/world/list_service.hpp
@@ -23,8 +23,8 @@
 public:
     list_service(timeline &clock, const list_spec &given, member_list &list);
 
-    // A call for the whole list, or a watch from a revision on that waits for so many seconds. `done` is called
-    // once, or never: the service is silent, or the call was dropped.
+    // A call for the whole list, or a watch from a revision on that waits for so many seconds. `done` is
+    // called once, or never: the service is silent, or the call was dropped.
     using done_to = std::function<void(const list_answer &)>;
     std::uint64_t call(std::optional<std::uint64_t> since, double wait, done_to done);
     void drop(std::uint64_t call); // its connection ended
--- a/src/lab/world/membership.hpp
+++ b/src/lab/world/membership.hpp
@@ -27,7 +27,7 @@
     std::uint64_t revision() const { return revision_; }
     const std::vector<member> &all() const { return members_; }
     std::vector<member> since(std::uint64_t revision) const;
-    void publish(member what); // as the next revision
+    void publish(member what);     // as the next revision
     void load(const member &what); // as it stands elsewhere, with its revision; nobody is told
     void silent(bool begins) { silent_ += begins ? 1 : static_cast<index>(-1); }
     bool answers() const { return silent_ == 0; }
--- a/src/lab/world/spec.hpp
+++ b/src/lab/world/spec.hpp
@@ -43,8 +43,9 @@
     bool aside = false;                     // servers tell of a miss, and proxies ask the origin
     bool warm = true;                       // the most popular keys are there at the start
     double idle = 5;                        // s that a server keeps an idle connection
-    double dial_work = 0; // s of a core that a new connection costs a server; its first query waits a way more
-    index hosts = 0;      // processes that the servers are dealt out over; 0: none of their own (sockets)
+    double dial_work =
+        0;           // s of a core that a new connection costs a server; its first query waits a way more
+    index hosts = 0; // processes that the servers are dealt out over; 0: none of their own (sockets)
 };
 
 struct origin_spec {
@@ -78,10 +79,10 @@
     index queue = 20;          // calls that wait; beyond, 503
     double come_back = 5;      // s, the Retry-After of that
     bool own_process = false;  // on sockets
-    double lag = 0.05;      // s until a change is on the list, in the mean
-    double notice = 2;      // s until the list leaves out a process that died
-    double lose = 0;        // share of watches that are lost
-    double drain_grace = 2; // s after it was told in which new work may still go to a draining server
+    double lag = 0.05;         // s until a change is on the list, in the mean
+    double notice = 2;         // s until the list leaves out a process that died
+    double lose = 0;           // share of watches that are lost
+    double drain_grace = 2;    // s after it was told in which new work may still go to a draining server
 };
 
 struct load_spec {
@@ -112,25 +113,25 @@
 };
 
 enum class fault_kind : std::uint8_t {
-    crash,       // a process dies and is started again when the fault ends (for = 0: never)
-    hang,        // open and new connections stay up and silent, work stands still
-    vanish,      // the machine says nothing; new connections never come up
-    slow,        // all its work takes `factor` times as long
-    errors,      // `factor` of its answers are quick errors, of one use case where that is named
-    spoilt,      // `factor` of its answers cannot be read
-    one_way,     // queries come and run, answers are lost
-    drain,       // the list says so; after `for` the server is gone
-    join,        // a server that was not there before is started, cold
-    flap,        // the list leaves the server out and names it again, every half second
-    list_silent, // nobody is told anything
-    list_stale,  // what is told is as old as the fault
-    origin_slow, // `factor` times
-    origin_stop, // nothing comes from it
-    burst,       // `factor` times the load
-    flood,       // a tenant's load is `factor` times
-    proxy_kill,  // killed outright and started again after `for`
-    proxy_pause, // a proxy stands still
-    client_pause, // clients stand still, then send what came due meanwhile
+    crash,         // a process dies and is started again when the fault ends (for = 0: never)
+    hang,          // open and new connections stay up and silent, work stands still
+    vanish,        // the machine says nothing; new connections never come up
+    slow,          // all its work takes `factor` times as long
+    errors,        // `factor` of its answers are quick errors, of one use case where that is named
+    spoilt,        // `factor` of its answers cannot be read
+    one_way,       // queries come and run, answers are lost
+    drain,         // the list says so; after `for` the server is gone
+    join,          // a server that was not there before is started, cold
+    flap,          // the list leaves the server out and names it again, every half second
+    list_silent,   // nobody is told anything
+    list_stale,    // what is told is as old as the fault
+    origin_slow,   // `factor` times
+    origin_stop,   // nothing comes from it
+    burst,         // `factor` times the load
+    flood,         // a tenant's load is `factor` times
+    proxy_kill,    // killed outright and started again after `for`
+    proxy_pause,   // a proxy stands still
+    client_pause,  // clients stand still, then send what came due meanwhile
     proxy_restart, // told to end, and started again, with another configuration, `for` after it has gone
     proxy_end,     // told to end, for good
     proxy_late,    // not there before
@@ -217,8 +218,8 @@
     std::vector<variant_spec> variants;
 };
 
-// Throws bad_experiment. `base = "FILE"` in a file lays it over that other one, beside it; its part [large] is
-// laid over both where that size is asked for.
+// Throws bad_experiment. `base = "FILE"` in a file lays it over that other one, beside it; its part [large]
+// is laid over both where that size is asked for.
 experiment read_experiment(const std::string &path, bool large = false);
 experiment parse_experiment(const std::string &text, const std::string &name, bool large = false);
 
--- a/src/lab/world/witness.hpp
+++ b/src/lab/world/witness.hpp
@@ -44,8 +44,8 @@
     virtual void restarted(index proxy, bool killed) = 0;
     // It stands still by a fault: it cannot answer in time.
     virtual void paused(index proxy, bool begins) = 0;
-    // A link between two ends is in trouble by a fault: what it held, and what an end could not see, is nobody's
-    // fault while that lasts and shortly after.
+    // A link between two ends is in trouble by a fault: what it held, and what an end could not see, is
+    // nobody's fault while that lasts and shortly after.
     virtual void link_trouble(link_kind kind, index near, index far, bool begins) = 0;
 };
 
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -27,7 +27,7 @@
 constexpr double source_pause = 15;       // s that a server may pause in a long answer; it may swap
 constexpr double sink_pause = 30;         // s that a side may take for a window of a long body
 constexpr double upload_linger = 2;       // s in which a client may read why its long body was turned off
-constexpr double answer_margin = 0.05; // s before the client's end in which no dial goes on
+constexpr double answer_margin = 0.05;    // s before the client's end in which no dial goes on
 constexpr double own_margin = 0.01; // s after the client's end; the router gives its final answer before
 constexpr double stall_share =
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -4,10 +4,10 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "helpers.hpp"
 
-#include "lab/load/client_port.hpp"
-#include "lab/processes/fleet_ports.hpp"
 #include "lab/judge/plot.hpp"
 #include "lab/judge/report.hpp"
+#include "lab/load/client_port.hpp"
+#include "lab/processes/fleet_ports.hpp"
 #include "lab/runs/socket_run.hpp"
 #include "lab/runs/virtual_run.hpp"
 
