--- a/src/lab/links/conditions.cpp
+++ b/src/lab/links/conditions.cpp
@@ -102,7 +102,7 @@
 
 std::vector<link_id> link_table::all() const {
     std::vector<std::uint64_t> numbers;
-    for (const auto &[each, entry] : links_)
+    for (const auto &[each, of] : links_)
         numbers.push_back(each);
     std::sort(numbers.begin(), numbers.end());
     std::vector<link_id> made;
--- a/src/lab/processes/part.cpp
+++ b/src/lab/processes/part.cpp
@@ -201,7 +201,9 @@
     }
 
     void run() {
-        say({part_message::kind::ready});
+        part_message up;
+        up.is = part_message::kind::ready;
+        say(up);
         beat();
         loop_.run([this] { return over_; });
     }
--- a/src/lab/processes/part.hpp
+++ b/src/lab/processes/part.hpp
@@ -44,7 +44,6 @@
     std::uint64_t number = 0, key = 0;
     double x = 0;
     seen event;
-    bool operator==(const part_message &) const = delete;
 };
 
 // Either end of the pair.
--- a/src/lab/runs/virtual_run.cpp
+++ b/src/lab/runs/virtual_run.cpp
@@ -39,7 +39,12 @@
     all.people.there = [&](index proxy) { return proxies[proxy].takes(); };
     all.people.send = [&](const asking &query) {
         links.carry({link_kind::client_proxy, 0, query.proxy}, direction::there, given.network.one_way,
-                    answer_size, [&to = proxies[query.proxy], query, &clock] {
+                    answer_size, [&, query] {
+                        auto &to = proxies[query.proxy];
+                        if (!to.up()) { // it ended meanwhile: the connection is refused
+                            all.judge.untaken(query.op, query.attempt);
+                            return all.people.answered(query.op, query.attempt, reply::cut, 0, false);
+                        }
                         if (query.end > clock.now()) // held longer, its client has gone
                             to.take(query);
                     });
--- a/src/lab/world/spec.cpp
+++ b/src/lab/world/spec.cpp
@@ -189,7 +189,8 @@
             refuse_key(key, "is no list of numbers");
         to.clear();
         for (const auto &each : *node->as_array()) {
-            if (const auto range = each.value_exact<std::string>()) { // "200-299"
+            const auto range = each.value_exact<std::string>();
+            if (range && range->find('-') != std::string::npos) { // "200-299"
                 std::size_t first = 0, last = 0;
                 char dash = 0;
                 std::istringstream text(*range);
