--- a/src/lab/processes/fleet_ports.cpp
+++ b/src/lab/processes/fleet_ports.cpp
@@ -26,6 +26,16 @@
     return text + std::to_string(port);
 }
 
+part_message about(const member_list::member &what, part_message::kind as) {
+    part_message made;
+    made.is = as;
+    made.small = static_cast<std::uint8_t>(what.state);
+    made.a = what.server;
+    made.x = what.started;
+    made.number = what.revision;
+    return made;
+}
+
 } // namespace
 
 fleet_ports::fleet_ports(loop &in, stage &of, const fleet_places &where, const part_options &parts)
@@ -223,13 +233,7 @@
                 stage_.figures.called(static_cast<list_call>(what.small), what.number);
         };
         stage_.list.on_change = [this](const membership::member &what) {
-            part_message told;
-            told.is = part_message::kind::publish;
-            told.small = static_cast<std::uint8_t>(what.state);
-            told.a = what.server;
-            told.x = what.started;
-            told.number = what.revision;
-            list_part_->send(told);
+            list_part_->send(about(what, part_message::kind::publish));
         };
         list_part_->start();
         tell_list();
@@ -319,15 +323,8 @@
 }
 
 void fleet_ports::tell_list() {
-    for (const auto &each : stage_.list.all()) {
-        part_message told;
-        told.is = part_message::kind::load;
-        told.small = static_cast<std::uint8_t>(each.state);
-        told.a = each.server;
-        told.x = each.started;
-        told.number = each.revision;
-        list_part_->send(told);
-    }
+    for (const auto &each : stage_.list.all())
+        list_part_->send(about(each, part_message::kind::load));
 }
 
 // In one loop with the rest, a list service that is killed or stopped is silent; as a process it is the real
--- /dev/null
+++ b/tests/lab_helpers.hpp
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+// What the laboratory's tests share: waiting for events in its loop, and a caller that keeps what it is told.
+#pragma once
+
+#include "lab/loop/channel.hpp"
+
+#include <doctest/doctest.h>
+#include <source_location>
+
+namespace harrierpass::lab {
+
+// Plays the loop until something is there, or fails.
+inline void until(loop &in, const std::function<bool()> &what,
+                  const std::source_location &where = std::source_location::current()) {
+    const double end = in.clock.now() + 20;
+    in.run([&] { return what() || in.clock.now() > end; });
+    CAPTURE(where.line());
+    REQUIRE(what());
+}
+
+struct caller {
+    caller(loop &with, const std::string &to)
+        : on(std::make_shared<channel>(with, dial_soon(*parse_address(to)), http_reader::side::answer)) {
+        on->on_message = [this](const auto &, const http_reader &answer) {
+            said = std::to_string(answer.head().status) + " " + std::string(answer.head().value("X-Cache"));
+            ++count;
+        };
+        on->on_end = [this](const auto &, channel::ending how) {
+            ended = true;
+            why = how;
+        };
+        on->start(true);
+    }
+    void get(const std::string &id, const std::string &path) {
+        on->send("GET " + path + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\n\r\n");
+    }
+    std::shared_ptr<channel> on;
+    std::string said;
+    int count = 0;
+    bool ended = false;
+    channel::ending why = channel::ending::closed;
+};
+
+} // namespace harrierpass::lab
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -3,6 +3,7 @@
 // files, and the real proxy on sockets before it.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "helpers.hpp"
+#include "lab_helpers.hpp"
 
 #include "lab/judge/plot.hpp"
 #include "lab/judge/report.hpp"
@@ -349,13 +350,6 @@
 
 // ---- On sockets
 
-// Plays the loop until something is there, or fails.
-void until(loop &in, const std::function<bool()> &what) {
-    const double end = in.clock.now() + 20;
-    in.run([&] { return what() || in.clock.now() > end; });
-    REQUIRE(what());
-}
-
 TEST_CASE("servers on sockets: hits, repeats that are seen, deaths and silences") {
     experiment given = made("[network]\ndial_limit = \"200ms\"\n");
     given.fleet.warm = false;
@@ -363,40 +357,17 @@
     stage all(in.clock, given, 1, 0.05);
     all.judge.strangers = true;
     const fleet_ports ports(in, all);
-    struct caller {
-        caller(loop &with, const std::string &to)
-            : on(std::make_shared<channel>(with, dial_soon(*parse_address(to)), http_reader::side::answer)) {
-            on->on_message = [this](const auto &, const http_reader &answer) {
-                said =
-                    std::to_string(answer.head().status) + " " + std::string(answer.head().value("X-Cache"));
-                ++count;
-            };
-            on->on_end = [this](const auto &, channel::ending how) {
-                ended = true;
-                why = how;
-            };
-            on->start(true);
-        }
-        std::shared_ptr<channel> on;
-        std::string said;
-        int count = 0;
-        bool ended = false;
-        channel::ending why = channel::ending::closed;
-    };
-    const auto get = [](const std::string &id, const std::string &path) {
-        return "GET " + path + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\n\r\n";
-    };
     caller one(in, ports.server_at(0)), two(in, ports.server_at(1));
-    one.on->send(get("a1", "/lookup/7"));
+    one.get("a1", "/lookup/7");
     until(in, [&] { return one.count == 1; });
     CHECK(one.said == "200 miss");
-    one.on->send(get("a2", "/lookup/7"));
+    one.get("a2", "/lookup/7");
     until(in, [&] { return one.count == 2; });
     CHECK(one.said == "200 hit");
     one.on->send("GET /ping HTTP/1.1\r\nHost: x\r\n\r\n");
     until(in, [&] { return one.count == 3; });
     CHECK(one.said == "200 ");
-    one.on->send(get("a3", "/nothing/7"));
+    one.get("a3", "/nothing/7");
     until(in, [&] { return one.count == 4; });
     CHECK(one.said == "400 ");
     CHECK(all.judge.broken() == 0);
@@ -404,8 +375,8 @@
     // The same query at two servers at once.
     all.servers.at(0).hang(true);
     all.servers.at(1).hang(true);
-    one.on->send(get("b1", "/lookup/8"));
-    two.on->send(get("b1", "/lookup/8"));
+    one.get("b1", "/lookup/8");
+    two.get("b1", "/lookup/8");
     until(in, [&] { return all.judge.broken(rule::two_out) == 1; });
     all.servers.at(0).crash(true);
     until(in, [&] { return one.ended; });
@@ -416,13 +387,13 @@
     all.servers.at(0).hang(false);
     all.servers.at(0).crash(false); // the same address, cold
     caller back(in, ports.server_at(0));
-    back.on->send(get("c1", "/lookup/7"));
+    back.get("c1", "/lookup/7");
     until(in, [&] { return back.count == 1; });
     CHECK(back.said == "200 miss");
 
     // A machine that is gone: no answer, no refusal, and no connection comes up.
     all.servers.at(0).vanish(true);
-    back.on->send(get("c2", "/lookup/7"));
+    back.get("c2", "/lookup/7");
     CHECK_FALSE(dial(*parse_address(ports.server_at(0)), 0.2));
     CHECK_FALSE(back.ended);
     CHECK(back.count == 1);
@@ -431,13 +402,13 @@
     two.on->end(false);
     all.servers.at(1).hang(false);
     caller tired(in, ports.server_at(1));
-    tired.on->send(get("d1", "/lookup/9"));
+    tired.get("d1", "/lookup/9");
     until(in, [&] { return tired.count == 1; });
     all.servers.at(1).vanish(true);
-    tired.on->send(get("d2", "/lookup/9"));
+    tired.get("d2", "/lookup/9");
     tired.on->end(false);
     caller again(in, ports.server_at(2));
-    again.on->send(get("d2", "/lookup/9"));
+    again.get("d2", "/lookup/9");
     until(in, [&] { return again.count == 1; });
     all.servers.at(1).vanish(false);
     all.servers.at(0).vanish(false);
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -3,17 +3,16 @@
 // it should be; the referee over processes sees what is planted and judges events in their order.
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "helpers.hpp"
+#include "lab_helpers.hpp"
 
 #include "lab/judge/report.hpp"
 #include "lab/links/relay.hpp"
-#include "lab/loop/channel.hpp"
 #include "lab/processes/fleet_ports.hpp"
 #include "lab/runs/socket_run.hpp"
 #include "lab/runs/virtual_run.hpp"
 
 #include <doctest/doctest.h>
 #include <filesystem>
-#include <source_location>
 #include <sys/epoll.h>
 
 namespace harrierpass::lab {
@@ -43,15 +42,6 @@
     return "[[link]]\nkind = \"" + kind + "\"\nat = \"1s\"\nfor = \"1s\"\n" + more + "\n";
 }
 
-// Plays the loop until something is there, or fails.
-void until(loop &in, const std::function<bool()> &what,
-           const std::source_location &where = std::source_location::current()) {
-    const double end = in.clock.now() + 20;
-    in.run([&] { return what() || in.clock.now() > end; });
-    CAPTURE(where.line());
-    REQUIRE(what());
-}
-
 // A socket in the loop that keeps what it hears.
 struct talker {
     talker(loop &with, tcp_socket from) : in(with), socket(std::move(from)) {
@@ -485,29 +475,6 @@
 
 namespace {
 
-struct caller {
-    caller(loop &with, const std::string &to)
-        : on(std::make_shared<channel>(with, dial_soon(*parse_address(to)), http_reader::side::answer)) {
-        on->on_message = [this](const auto &, const http_reader &answer) {
-            said = std::to_string(answer.head().status) + " " + std::string(answer.head().value("X-Cache"));
-            ++count;
-        };
-        on->on_end = [this](const auto &, channel::ending how) {
-            ended = true;
-            why = how;
-        };
-        on->start(true);
-    }
-    void get(const std::string &id) {
-        on->send("GET /lookup/7 HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\n\r\n");
-    }
-    std::shared_ptr<channel> on;
-    std::string said;
-    int count = 0;
-    bool ended = false;
-    channel::ending why = channel::ending::closed;
-};
-
 std::string folder_of(const char *name) {
     const std::string made =
         std::filesystem::temp_directory_path() / (std::string(name) + std::to_string(::getpid()));
@@ -546,10 +513,10 @@
         fleet_ports ports(in, all, {}, {HARRIERPASS_LAB_PROGRAM, folder});
         until(in, [&] { return ports.ready(); });
         caller zero(in, ports.server_at(0)), one(in, ports.server_at(1));
-        zero.get("a1");
+        zero.get("a1", "/lookup/7");
         until(in, [&] { return zero.count == 1; });
-        zero.get("a2");
-        one.get("a3");
+        zero.get("a2", "/lookup/7");
+        one.get("a3", "/lookup/7");
         until(in, [&] { return zero.count == 2 && one.count == 1; });
         CHECK(zero.said == "200 hit");
         CHECK(all.servers.source().fetches() == 2); // the origin is here
@@ -559,8 +526,8 @@
         stops.hosts = {0};
         stops.servers = {0, 2};
         all.apply(stops, true);
-        zero.get("b1");
-        one.get("b2");
+        zero.get("b1", "/lookup/7");
+        one.get("b2", "/lookup/7");
         until(in, [&] { return one.count == 2; }); // the other process goes on
         CHECK(zero.count == 2);
         all.apply(stops, false);
@@ -579,7 +546,7 @@
         all.apply(kills, false);
         until(in, [&] { return ports.ready() && all.list.revision() >= 5; });
         caller back(in, ports.server_at(0));
-        back.get("c1");
+        back.get("c1", "/lookup/7");
         until(in, [&] { return back.count == 1; });
         CHECK(back.said == "200 miss"); // another process, cold and empty
 
@@ -590,7 +557,7 @@
         service.kind = fault_kind::list_stop;
         all.apply(service, true);
         list.on->send(whole);
-        one.get("d1");
+        one.get("d1", "/lookup/7");
         until(in, [&] { return one.count == 3; });
         CHECK(list.count == 1);
         all.apply(service, false);
