Service of the proxies that a fault names, and of the others

Need: the figures told service by zone only. A test of a dropped link between clients and a proxy on sockets.

--- a/src/lab/judge/figures.cpp
+++ b/src/lab/judge/figures.cpp
@@ -23,7 +23,21 @@
 
 fleet_figures::fleet_figures(const timeline &clock, const experiment &given, index servers)
     : clock_(clock), given_(given), began_(clock.now()), dials_(servers + 1), executions_(servers + 1),
-      open_(servers + 1), zones_(given.fleet.zones.size()) {}
+      open_(servers + 1), zones_(given.fleet.zones.size()) {
+    std::vector<bool> struck(given.proxies.count);
+    const auto name = [&](const std::vector<index> &proxies) {
+        for (const index each : proxies)
+            struck[each] = true;
+    };
+    for (const auto &each : given.faults)
+        name(each.proxies);
+    for (const auto &each : given.links)
+        if (each.kind == link_fault_kind::partition)
+            name(each.proxies);
+    const auto count = std::count(struck.begin(), struck.end(), true);
+    if (count > 0 && count < static_cast<std::ptrdiff_t>(struck.size()))
+        struck_ = std::move(struck);
+}
 
 // What the proxies did before the load is start-up: calls and connections of it count as of second 0.
 void fleet_figures::begin() {
@@ -64,11 +78,25 @@
     calls_.push_back(clock_.now());
 }
 
-void fleet_figures::served(index proxy_zone, double worth, double asked) {
-    auto &by_second = zones_.at(proxy_zone);
-    by_second.resize(std::max(by_second.size(), second() + 1));
-    by_second[second()].first += worth;
-    by_second[second()].second += asked;
+void fleet_figures::add(by_second &to, double worth, double asked) const {
+    to.resize(std::max(to.size(), second() + 1));
+    to[second()].first += worth;
+    to[second()].second += asked;
+}
+
+double fleet_figures::share(const by_second &of) {
+    double worth = 0, asked = 0;
+    for (const auto &[served, wanted] : of) {
+        worth += served;
+        asked += wanted;
+    }
+    return asked > 0 ? worth / asked : 1;
+}
+
+void fleet_figures::served(index proxy, double worth, double asked) {
+    add(zones_.at(zone_of(given_, proxy)), worth, asked);
+    if (!struck_.empty())
+        add(struck_[proxy] ? struck_served_ : rest_served_, worth, asked);
 }
 
 std::vector<std::pair<std::string, double>> fleet_figures::all(std::uint64_t queries) const {
@@ -98,42 +126,51 @@
     double worst_zone = 1;
     double early = 0, early_asked = 0, later = 0, later_asked = 0;
     for (const auto &zone : zones_) {
-        double worth = 0, asked = 0;
         for (std::size_t i = 0; i < zone.size(); ++i) {
-            worth += zone[i].first;
-            asked += zone[i].second;
             (i < first_seconds ? early : later) += zone[i].first;
             (i < first_seconds ? early_asked : later_asked) += zone[i].second;
         }
-        worst_zone = asked > 0 ? std::min(worst_zone, worth / asked) : worst_zone;
+        worst_zone = std::min(worst_zone, share(zone));
+    }
+    std::vector<std::pair<std::string, double>> made = {
+        {"dials_a_query", dials / count},
+        {"dials_most_1s", most},
+        {"open_most", static_cast<double>(open_most_)},
+        {"list_whole", static_cast<double>(whole_)},
+        {"list_watch", static_cast<double>(watch_)},
+        {"list_refused", static_cast<double>(refused_)},
+        {"list_kb", static_cast<double>(list_bytes_) / 1024},
+        {"list_most_100ms", static_cast<double>(most_within(calls_, 0.1))},
+        {"dead_dials", static_cast<double>(dead_dials_)},
+        {"dead_sends", static_cast<double>(dead_sends_)},
+        {"dead_probes", static_cast<double>(dead_probes_)},
+        {"over_mean_p50", over.empty() ? 0 : over[over.size() / 2]},
+        {"over_mean_most", over.empty() ? 0 : over.back()},
+        {"worst_zone", worst_zone},
+        {"first_5s", early_asked > 0 ? early / early_asked : 1},
+        {"after_5s", later_asked > 0 ? later / later_asked : 1}};
+    if (!struck_.empty()) {
+        made.emplace_back("struck", share(struck_served_));
+        made.emplace_back("not_struck", share(rest_served_));
     }
-    return {{"dials_a_query", dials / count},
-            {"dials_most_1s", most},
-            {"open_most", static_cast<double>(open_most_)},
-            {"list_whole", static_cast<double>(whole_)},
-            {"list_watch", static_cast<double>(watch_)},
-            {"list_refused", static_cast<double>(refused_)},
-            {"list_kb", static_cast<double>(list_bytes_) / 1024},
-            {"list_most_100ms", static_cast<double>(most_within(calls_, 0.1))},
-            {"dead_dials", static_cast<double>(dead_dials_)},
-            {"dead_sends", static_cast<double>(dead_sends_)},
-            {"dead_probes", static_cast<double>(dead_probes_)},
-            {"over_mean_p50", over.empty() ? 0 : over[over.size() / 2]},
-            {"over_mean_most", over.empty() ? 0 : over.back()},
-            {"worst_zone", worst_zone},
-            {"first_5s", early_asked > 0 ? early / early_asked : 1},
-            {"after_5s", later_asked > 0 ? later / later_asked : 1}};
+    return made;
 }
 
 std::vector<std::pair<std::string, std::vector<double>>> fleet_figures::series() const {
     const auto seconds = static_cast<std::size_t>(std::ceil(given_.length));
     std::vector<std::pair<std::string, std::vector<double>>> made;
-    for (std::size_t zone = 0; zone < zones_.size(); ++zone) {
+    const auto line = [&](const std::string &name, const by_second &of) {
         std::vector<double> values(seconds, std::nan(""));
-        for (std::size_t i = 0; i < std::min(seconds, zones_[zone].size()); ++i)
-            if (zones_[zone][i].second > 0)
-                values[i] = zones_[zone][i].first / zones_[zone][i].second;
-        made.emplace_back("zone " + given_.fleet.zones[zone], std::move(values));
+        for (std::size_t i = 0; i < std::min(seconds, of.size()); ++i)
+            if (of[i].second > 0)
+                values[i] = of[i].first / of[i].second;
+        made.emplace_back(name, std::move(values));
+    };
+    for (std::size_t zone = 0; zone < zones_.size(); ++zone)
+        line("zone " + given_.fleet.zones[zone], zones_[zone]);
+    if (!struck_.empty()) {
+        line("group struck", struck_served_);
+        line("group not struck", rest_served_);
     }
     std::vector<double> dials(seconds), calls(seconds);
     const auto add = [&](std::vector<double> &to, double when) {
--- a/src/lab/judge/figures.hpp
+++ b/src/lab/judge/figures.hpp
@@ -24,17 +24,20 @@
     void dialled(index server, bool there);
     void opened(index server);
     void closed(index server);
-    void execution(index server);                              // came to a server
-    void sent_to_dead(bool probe);                             // an execution that found nobody, or a probe
-    void called(list_call as, std::size_t bytes);              // what the list service made of a call
-    void served(index proxy_zone, double worth, double asked); // a client's query, settled
+    void execution(index server);                         // came to a server
+    void sent_to_dead(bool probe);                        // an execution that found nobody, or a probe
+    void called(list_call as, std::size_t bytes);         // what the list service made of a call
+    void served(index proxy, double worth, double asked); // a client's query, settled
 
     // By name, in the order in which reports have them.
     std::vector<std::pair<std::string, double>> all(std::uint64_t queries) const;
     std::vector<std::pair<std::string, std::vector<double>>> series() const; // by second
 
 private:
+    using by_second = std::vector<std::pair<double, double>>; // served, asked
     std::size_t second() const;
+    void add(by_second &to, double worth, double asked) const;
+    static double share(const by_second &of);
     const timeline &clock_;
     const experiment &given_;
     double began_ = 0;
@@ -44,7 +47,10 @@
     std::vector<std::uint64_t> open_;                    // by server
     std::uint64_t open_most_ = 0, dead_dials_ = 0, dead_sends_ = 0, dead_probes_ = 0;
     std::uint64_t whole_ = 0, watch_ = 0, refused_ = 0, list_bytes_ = 0;
-    std::vector<std::vector<std::pair<double, double>>> zones_; // by zone, second: served, asked
+    std::vector<by_second> zones_; // by zone
+    // Of proxies that a fault of a process or a partition names, and of the others; where there are such.
+    std::vector<bool> struck_; // by proxy
+    by_second struck_served_, rest_served_;
 };
 
 // The most of these times, in their order, that lie within any `width` s.
--- a/src/lab/judge/plot.cpp
+++ b/src/lab/judge/plot.cpp
@@ -226,13 +226,15 @@
     made.lines("origin fetches a second", fetches, 0, false, 0);
     // Of the first variant's first run: figures by second that only a fleet has.
     const auto &first = *by_name[names[0]][0];
-    std::vector<curve> zones, calls;
+    std::vector<curve> zones, groups, calls;
     for (const auto &[name, values] : first.series) {
-        auto &to = name.starts_with("zone ") ? zones : calls;
+        auto &to = name.starts_with("zone ") ? zones : name.starts_with("group ") ? groups : calls;
         to.push_back({name, values, colours[to.size() % colours.size()]});
     }
     if (zones.size() > 1)
         made.lines("service by the proxies' zone", zones, 1, false, 0);
+    if (!groups.empty())
+        made.lines("service of proxies that a fault names, and of the others", groups, 1, false, 0);
     if (!calls.empty())
         made.lines("new connections and list calls a second, all proxies", calls, 0, false, 0);
     made.heat(names[0] + ": executions in hand by server", by_name[names[0]][0]->in_hand);
--- a/src/lab/runs/stage.cpp
+++ b/src/lab/runs/stage.cpp
@@ -26,7 +26,7 @@
       figures(with, of, servers.size()), seed_(seed) {
     judge.on_received = [this](index server) { figures.execution(server); };
     people.on_settled = [this](index proxy, double served, double asked) {
-        figures.served(zone_of(given, proxy), served, asked);
+        figures.served(proxy, served, asked);
     };
     links.on_change = [this](const link_id &which, const link_now &before, const link_now &now) {
         if (before.troubled() != now.troubled())
--- a/tests/many_test.cpp
+++ b/tests/many_test.cpp
@@ -665,6 +665,19 @@
     CHECK(run.completed > run.queries / 2);
 }
 
+// Clients cut off from a proxy hear nothing from it, and it is not to blame.
+TEST_CASE("a link between clients and a proxy, on sockets") {
+    const auto run =
+        on_sockets(made("length = \"2s\"\n[fleet]\nservers = 2\n[load]\nrate = 60\n[proxies]\ncount = 2\n" +
+                        link_fault("drop", "proxies = [0]\nbetween = [\"client-proxy\"]\n")));
+    CHECK(run.broken() == 0);
+    CHECK(run.none > 5);
+    CHECK(run.completed > run.queries / 2);
+    for (const auto &[name, values] : run.series)
+        if (name == "zone a")
+            CHECK(values.size() == 2);
+}
+
 TEST_CASE("the referee over processes sees what is planted") {
     const std::string day = R"(
 length = "2500ms"
@@ -741,6 +754,9 @@
     CHECK(with(link_fault("partition", "zone = \"a\"\nproxy_zone = \"a\"\n")).trace != calm.trace);
     const auto clients = with(link_fault("drop", "between = [\"client-proxy\"]\nproxies = [0, 1, 2]\n"));
     CHECK(clients.none > 20);
+    const auto paused =
+        with("[[fault]]\nkind = \"proxy_pause\"\nat = \"1s\"\nfor = \"1s\"\nproxies = [0, 1]\n");
+    CHECK(figure(paused, "struck") < figure(paused, "not_struck"));
     const auto fault = [](const std::string &kind, const std::string &more) {
         return "[[fault]]\nkind = \"" + kind + "\"\nat = \"1s\"\nfor = \"500ms\"\n" + more;
     };
