--- a/src/lab/links/relay.cpp
+++ b/src/lab/links/relay.cpp
@@ -214,6 +214,9 @@
         here.gone = true;
         return ask(of);
     }
+    // Guards against a reset that a full direction would never read, and be told of for ever.
+    if ((events & EPOLLERR) != 0)
+        return finish(tag, !near, near);
     if ((events & EPOLLIN) != 0 || broke)
         take(of, out);
     if (pairs_.contains(tag) && (events & EPOLLOUT) != 0)
