--- a/src/lab/judge/report.cpp
+++ b/src/lab/judge/report.cpp
@@ -94,6 +94,8 @@
         made["tenants"][name] = value;
     for (const auto &[name, value] : run.fleet)
         made["fleet"][name] = value;
+    if (!run.proxy_cpu.empty())
+        made["each_proxy"] = {{"cpu_s", run.proxy_cpu}, {"mb", run.proxy_mb}};
     for (const auto &[name, values] : run.series)
         made["series"][name] = values;
     made["slots"] = {{"service", run.slot_service}, {"p50", run.slot_p50},         {"p99", run.slot_p99},
--- a/src/lab/judge/result.hpp
+++ b/src/lab/judge/result.hpp
@@ -38,7 +38,8 @@
     std::vector<std::pair<std::string, double>> use_cases, tenants; // service by name
     std::vector<std::pair<std::string, double>> fleet;              // figures of the whole fleet, by name
     std::vector<std::pair<std::string, std::vector<double>>>
-        series; // by second of the run; NaN: nothing there
+        series;                              // by second of the run; NaN: nothing there
+    std::vector<double> proxy_cpu, proxy_mb; // s, MB at its end: of each real proxy, by number
     std::vector<std::string> stories;
     std::string void_because; // not empty: the run does not count
 
--- a/src/lab/runs/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -155,8 +155,11 @@
         std::vector<double> cpus;
         for (const auto &each : proxies_) {
             resident = std::max(resident, each.resident_kb);
-            if (each.process)
-                cpus.push_back(each.process->cpu());
+            if (!each.process)
+                continue;
+            cpus.push_back(each.process->cpu());
+            made.proxy_cpu.push_back(cpus.back());
+            made.proxy_mb.push_back(static_cast<double>(each.resident_kb) / 1024);
         }
         std::sort(cpus.begin(), cpus.end());
         made.proxies = {
