The rig reads once what stood twice: late proxies, all servers, warm stores, addresses

Need: a second reading found twins: who is late, how many servers there are, what a warm store holds, how long a list is waited for, an address by its number, a connection told to the figures, faults and links planned alike; and figures of parts that nobody asked for.

--- a/src/lab/links/relay.cpp
+++ b/src/lab/links/relay.cpp
@@ -24,16 +24,6 @@
 constexpr std::uint32_t relay_net = 0x7f100000; // 127.16.0.0 and on: links' own addresses
 constexpr std::uint32_t datagram_net = 0x7fc80000; // 127.200.0.0 and on
 
-address ipv4(std::uint32_t where, int port) {
-    address made;
-    auto *const to = reinterpret_cast<sockaddr_in *>(&made.where);
-    to->sin_family = AF_INET;
-    to->sin_addr.s_addr = htonl(where);
-    to->sin_port = htons(static_cast<std::uint16_t>(port));
-    made.size = sizeof(sockaddr_in);
-    return made;
-}
-
 void reset_soon(const tcp_socket &of) {
     const linger none_left{1, 0};
     setsockopt(of.get(), SOL_SOCKET, SO_LINGER, &none_left, sizeof none_left);
@@ -367,8 +357,7 @@
     if (!socket_ || ::bind(socket_.get(), reinterpret_cast<const sockaddr *>(&any.where), any.size) != 0 ||
         setsockopt(socket_.get(), IPPROTO_IP, IP_PKTINFO, &on, sizeof on) != 0)
         throw std::system_error(errno, std::generic_category(), "no socket for datagrams");
-    const address got = local_address(socket_);
-    port_ = ntohs(reinterpret_cast<const sockaddr_in *>(&got.where)->sin_port);
+    port_ = port_of(local_address(socket_));
     loop_.watch(socket_.get(), EPOLLIN, [this](std::uint32_t) { read(); });
 }
 
--- a/src/lab/loop/channel.cpp
+++ b/src/lab/loop/channel.cpp
@@ -10,6 +10,20 @@
 
 namespace harrierpass::lab {
 
+address ipv4(std::uint32_t where, int port) {
+    address made;
+    auto *const to = reinterpret_cast<sockaddr_in *>(&made.where);
+    to->sin_family = AF_INET;
+    to->sin_addr.s_addr = htonl(where);
+    to->sin_port = htons(static_cast<std::uint16_t>(port));
+    made.size = sizeof(sockaddr_in);
+    return made;
+}
+
+int port_of(const address &of) {
+    return ntohs(reinterpret_cast<const sockaddr_in *>(&of.where)->sin_port);
+}
+
 tcp_socket dial_soon(const address &to) {
     tcp_socket made(::socket(to.where.ss_family, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
     if (!made)
--- a/src/lab/loop/channel.hpp
+++ b/src/lab/loop/channel.hpp
@@ -55,6 +55,10 @@
     bool connecting_ = false, still_ = false, begun_ = false, gone_ = false;
 };
 
+// An IPv4 address by its number, as 0x7f000001, and a port; the port of one.
+address ipv4(std::uint32_t where, int port);
+int port_of(const address &of);
+
 // Starts to connect; without a socket where none can be had.
 tcp_socket dial_soon(const address &to);
 
--- a/src/lab/processes/fleet_ports.cpp
+++ b/src/lab/processes/fleet_ports.cpp
@@ -18,12 +18,8 @@
 constexpr double judge_period = 0.05;          // s between looks at what can be judged
 constexpr std::size_t spare = 200;             // descriptors for the rest of this process
 
-std::string part_address(index number, int port) {
-    const std::uint32_t where = part_net + (static_cast<std::uint32_t>(::getpid() % 64) << 16) + number + 1;
-    std::string text;
-    for (int shift = 24; shift >= 0; shift -= 8)
-        text += std::to_string((where >> shift) & 255) + (shift > 0 ? "." : ":");
-    return text + std::to_string(port);
+address part_address(index number, int port) {
+    return ipv4(part_net + (static_cast<std::uint32_t>(::getpid() % 64) << 16) + number + 1, port);
 }
 
 part_message about(const member_list::member &what, part_message::kind as) {
@@ -46,35 +42,27 @@
     const index count = of.servers.size() + (of.given.fleet.aside ? 1 : 0);
     // Parts are at addresses of their own, under one port that is free at this moment: what is dialled from
     // here cannot take a place that a killed part comes back to.
-    const tcp_socket free = must_listen(*parse_address(part_address(60000, 0)));
-    const std::string chosen = to_text(local_address(free));
-    const int port = std::stoi(chosen.substr(chosen.rfind(':') + 1));
+    const tcp_socket free = must_listen(part_address(60000, 0));
+    const int port = port_of(local_address(free));
     where_ = [this](index proxy, index server) {
         const auto link = server_links_.find({proxy, server});
         return link == server_links_.end() ? hosts_.at(server) : link->second;
     };
     for (index i = 0; i < count; ++i) {
         if (!serves_here) {
-            hosts_.push_back(part_address(i, port));
+            hosts_.push_back(to_text(part_address(i, port)));
             continue;
         }
         servers_.push_back(std::make_unique<server_port>(
             in, of.servers, i,
             loopback(where.first_server > 0 ? where.first_server + static_cast<int>(i) : 0)));
-        servers_.back()->on_connection = [this](index server, bool begins) {
-            if (begins) {
-                stage_.figures.dialled(server, true);
-                stage_.figures.opened(server);
-            } else {
-                stage_.figures.closed(server);
-            }
-        };
+        servers_.back()->on_connection = [this](index server, bool begins) { connection(server, begins); };
         hosts_.push_back(servers_.back()->at());
     }
     hosts_.resize(of.servers.size() + 1);
     for (index i = 0; i < of.given.proxies.count; ++i) {
         if (!lists_here) {
-            list_addresses_.push_back(*parse_address(part_address(of.servers.size() + 1 + i, port)));
+            list_addresses_.push_back(part_address(of.servers.size() + 1 + i, port));
             continue;
         }
         lists_.push_back(std::make_unique<list_port>(
@@ -107,7 +95,7 @@
         for (index i = 0; i < stage_.given.proxies.count; ++i) {
             // Its port is any that is free now; nobody else in the run binds at this address.
             const tcp_socket probe(::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
-            const address at = *parse_address(part_address(61000 + i, 0));
+            const address at = part_address(61000 + i, 0);
             if (!probe || ::bind(probe.get(), reinterpret_cast<const sockaddr *>(&at.where), at.size) != 0)
                 throw std::system_error(errno, std::generic_category(), "no address for a proxy's datagrams");
             peers_.push_back(local_address(probe));
@@ -121,7 +109,6 @@
                 to_text(relay_->open(each, *parse_address(hosts_.at(each.far))));
         else if (each.kind == link_kind::proxy_list)
             list_links_[each.near] = to_text(relay_->open(each, list_addresses_.at(each.near)));
-        linked_ += each.kind != link_kind::proxy_proxy;
     }
     stage_.on_link = [this](const link_id &which, const link_now &before, const link_now &now) {
         relay_->changed(which, before, now);
@@ -246,6 +233,13 @@
     again(again);
 }
 
+void fleet_ports::connection(index server, bool begins) {
+    if (!begins)
+        return stage_.figures.closed(server);
+    stage_.figures.dialled(server, true);
+    stage_.figures.opened(server);
+}
+
 // What the origin and its marks are to all servers is here, wherever they are.
 void fleet_ports::serve(part_process &part, index host) {
     part.on_message = [this, &part](const part_message &what) {
@@ -266,14 +260,8 @@
                 part.send(made);
             });
         }
-        if (what.is == part_message::kind::connection) {
-            if (what.flag != 0) {
-                stage_.figures.dialled(what.a, true);
-                stage_.figures.opened(what.a);
-            } else {
-                stage_.figures.closed(what.a);
-            }
-        }
+        if (what.is == part_message::kind::connection)
+            return connection(what.a, what.flag != 0);
         if (what.is == part_message::kind::event && what.event.is == seen::kind::fell) {
             stage_.servers.at(what.event.a).fall();
             follow(what.event.a);
@@ -363,13 +351,6 @@
            !(list_part_ && list_part_->runs());
 }
 
-double fleet_ports::cpu() const {
-    double sum = list_part_ ? list_part_->cpu() : 0;
-    for (const auto &each : hosts_parts_)
-        sum += each->cpu();
-    return sum;
-}
-
 std::string fleet_ports::configuration(index proxy, const std::string &listen, std::uint32_t seed) const {
     static constexpr std::array<const char *, 3> effects = {"idempotent", "deduplicated", "at_most_once"};
     static constexpr std::array<const char *, 3> groups = {"all", "zone", "cell"};
--- a/src/lab/processes/fleet_ports.hpp
+++ b/src/lab/processes/fleet_ports.hpp
@@ -40,9 +40,7 @@
     // Descriptors that this process needs for it, as far as the experiment tells.
     static std::size_t descriptors(const experiment &given, std::size_t links);
     std::uint64_t deaths() const { return deaths_; } // of parts, by themselves
-    double cpu() const;                              // s, of the ended parts
     const datagram_relay *datagrams() const { return datagrams_.get(); }
-    std::size_t links() const { return linked_; }
 
 private:
     void make_links();
@@ -54,6 +52,7 @@
     void on_host(index host, fault_kind kind, bool begins);
     void on_list(bool kills, bool begins);
     void follow(index server);
+    void connection(index server, bool begins); // one came to a server, or is over
 
     loop &loop_;
     stage &stage_;
@@ -73,7 +72,6 @@
     std::unique_ptr<part_process> list_part_;
     std::vector<index> killed_, stopped_; // by host: faults that hold it; the list's behind them
     std::uint64_t deaths_ = 0;
-    std::size_t linked_ = 0;
 };
 
 } // namespace harrierpass::lab
--- a/src/lab/processes/part.cpp
+++ b/src/lab/processes/part.cpp
@@ -190,12 +190,8 @@
         loop_.watch(signals_.get(), EPOLLIN, [this](std::uint32_t) { over_ = true; });
         link_.on_end = [this] { over_ = true; };
         link_.on_message = [this](const part_message &what) { heard(what); };
-        index most = given.fleet.servers;
-        for (const auto &each : given.faults)
-            for (const index server : each.servers)
-                most = std::max(most, server + 1);
         if (setup.at("role") == "list")
-            be_list(setup, most);
+            be_list(setup, all_servers(given));
         else
             be_servers(setup);
     }
@@ -244,9 +240,8 @@
             if (host_of(given_, i) != setup.at("host").get<index>())
                 continue;
             auto &server = fleet_->at(i);
-            for (index rank = std::min(given_.fleet.store, given_.load.keys);
-                 rank-- > 0 && !cold && given_.fleet.warm && i < given_.fleet.servers;)
-                server.fill(rank);
+            if (!cold && given_.fleet.warm && i < given_.fleet.servers)
+                server.fill_popular();
             if (cold && server.up())
                 server.start_cold(loop_.clock.now());
             const auto at = parse_address(setup.at("addresses").at(i).get<std::string>());
--- a/src/lab/processes/part.hpp
+++ b/src/lab/processes/part.hpp
@@ -78,7 +78,6 @@
     bool runs() const { return process_.runs(); }
     bool ready() const { return ready_; }
     void send(const part_message &what);
-    double cpu() const { return process_.cpu(); }
     double last() const { return last_; } // of its events, s
 
     std::function<void(const part_message &)> on_message; // but beats
--- a/src/lab/runs/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -97,11 +97,7 @@
         all_.on_proxy_pause = [this](index proxy, bool begins) { pause(proxy, begins); };
         all_.on_proxy_restart = [this](index proxy, const fault_spec &fault) { restart(proxy, fault); };
         proxies_.resize(given_.proxies.count);
-        std::vector<bool> late(proxies_.size());
-        for (const auto &each : given_.faults)
-            if (each.kind == fault_kind::proxy_late)
-                for (const index proxy : each.proxies)
-                    late[proxy] = true;
+        const std::vector<bool> late = late_proxies(given_);
         const double limit = loop_.clock.now() + ready_limit;
         loop_.run([&] { return fleet_.ready() || loop_.clock.now() > limit; });
         if (!fleet_.ready())
--- a/src/lab/runs/stage.cpp
+++ b/src/lab/runs/stage.cpp
@@ -36,8 +36,7 @@
     };
     if (given.fleet.warm)
         for (index i = 0; i < given.fleet.servers; ++i)
-            for (index rank = std::min(given.fleet.store, given.load.keys); rank-- > 0;)
-                servers.at(i).fill(rank);
+            servers.at(i).fill_popular();
     in_hand_.resize(std::min<std::size_t>(servers.size(), most_servers));
 }
 
@@ -49,25 +48,19 @@
 }
 
 void stage::start_faults() {
-    for (const auto &each : given.faults) {
-        const bool ends = has_end(each);
-        for (double at = each.at; at < given.length; at += each.every) {
-            clock.after(at, [this, &each] { apply(each, true); });
+    const auto plan = [this](const auto &fault, bool ends, const std::function<void(bool begins)> &what) {
+        for (double at = fault.at; at < given.length; at += fault.every) {
+            clock.after(at, [what] { what(true); });
             if (ends)
-                clock.after(at + each.lasts, [this, &each] { apply(each, false); });
-            if (each.every <= 0)
+                clock.after(at + fault.lasts, [what] { what(false); });
+            if (fault.every <= 0)
                 break;
         }
-    }
-    for (std::size_t i = 0; i < given.links.size(); ++i) {
-        const auto &each = given.links[i];
-        for (double at = each.at; at < given.length; at += each.every) {
-            clock.after(at, [this, i] { links.apply(i, true); });
-            clock.after(at + each.lasts, [this, i] { links.apply(i, false); });
-            if (each.every <= 0)
-                break;
-        }
-    }
+    };
+    for (const auto &each : given.faults)
+        plan(each, has_end(each), [this, &each](bool begins) { apply(each, begins); });
+    for (std::size_t i = 0; i < given.links.size(); ++i)
+        plan(given.links[i], true, [this, i](bool begins) { links.apply(i, begins); });
 }
 
 void stage::sample() {
--- a/src/lab/runs/virtual_proxy.cpp
+++ b/src/lab/runs/virtual_proxy.cpp
@@ -15,9 +15,7 @@
 constexpr double idle_share =
     0.7; // of a server's idle limit for which a connection is kept, as upstream has it
 constexpr double sweep_period = 0.5; // s between looks for connections that have rested too long
-constexpr double grace_share = 0.25, least_list = 0.1,
-                 most_list = 1;                         // as proxy/settings.cpp: a list's answer
-constexpr double watch_wait = 1;                        // s, as there
+constexpr double watch_wait = 1;     // s, as proxy/settings.cpp has it where calls cost nothing
 constexpr double entry_bytes = 165, answer_bytes = 150; // of a list's entry; of an answer without any
 constexpr double end_time = 3, end_look = 0.05;         // s that a planned end may take; between looks
 constexpr index plant_every = 50;                       // every so many chances a planted fault is done
@@ -621,7 +619,7 @@
     const std::uint64_t call = ++list_call_;
     list_out_ = true;
     const bool watches = revision_ > 0;
-    const double limit = std::clamp(given_.list.drain_grace * grace_share, least_list, most_list);
+    const double limit = list_patience(given_.list);
     clock_.after(limit + (watches ? watch_wait : 0), [this, life = life_, call] {
         if (life == life_ && call == list_call_)
             event([this, life, call] {
--- a/src/lab/runs/virtual_run.cpp
+++ b/src/lab/runs/virtual_run.cpp
@@ -102,11 +102,7 @@
                         });
                 });
     };
-    std::vector<bool> late(proxies.size());
-    for (const auto &each : given.faults)
-        if (each.kind == fault_kind::proxy_late)
-            for (const index proxy : each.proxies)
-                late[proxy] = true;
+    const std::vector<bool> late = late_proxies(given);
     const auto start_proxies = [&] {
         for (index i = 0; i < proxies.size(); ++i)
             if (!late[i])
--- a/src/lab/world/servers.cpp
+++ b/src/lab/world/servers.cpp
@@ -221,6 +221,11 @@
     }
 }
 
+void cache_server::fill_popular() {
+    for (index rank = std::min(of_.given.fleet.store, of_.given.load.keys); rank-- > 0;)
+        fill(rank);
+}
+
 void cache_server::drop(std::uint64_t key) {
     if (const auto found = place_.find(key); found != place_.end()) {
         store_.erase(found->second);
@@ -334,10 +339,7 @@
 
 fleet::fleet(timeline &with, const experiment &of, witness &by, std::uint32_t seed)
     : clock(with), given(of), judge(by), origin_(with, of, seed) {
-    index most = given.fleet.servers;
-    for (const auto &each : given.faults)
-        for (const index server : each.servers)
-            most = std::max(most, server + 1);
+    const index most = all_servers(given);
     for (index i = 0; i < most; ++i)
         servers_.emplace_back(*this, i, seed + 7919 * (i + 1));
     for (index i = given.fleet.servers; i < most; ++i)
--- a/src/lab/world/servers.hpp
+++ b/src/lab/world/servers.hpp
@@ -106,6 +106,7 @@
     void fall(); // pushed over, seen by the process that it is in
     void start_cold(double started);
     void fill(std::uint64_t key); // as after a read
+    void fill_popular();          // what a warm store holds at the start, the most popular used last
     void drop(std::uint64_t key);
 
     bool up() const { return crashed_ == 0 && !fallen_; }
--- a/src/lab/world/spec.cpp
+++ b/src/lab/world/spec.cpp
@@ -629,6 +629,27 @@
     return given.fleet.hosts > 0 ? server % given.fleet.hosts : none;
 }
 
+index all_servers(const experiment &given) {
+    index most = given.fleet.servers;
+    for (const auto &each : given.faults)
+        for (const index server : each.servers)
+            most = std::max(most, server + 1);
+    return most;
+}
+
+std::vector<bool> late_proxies(const experiment &given) {
+    std::vector<bool> late(given.proxies.count);
+    for (const auto &each : given.faults)
+        if (each.kind == fault_kind::proxy_late)
+            for (const index proxy : each.proxies)
+                late[proxy] = true;
+    return late;
+}
+
+double list_patience(const list_spec &given) {
+    return std::clamp(given.drain_grace * 0.25, 0.1, 1.0);
+}
+
 bool has_end(const fault_spec &fault) {
     return fault.lasts > 0 && fault.kind != fault_kind::drain && fault.kind != fault_kind::join &&
            fault.kind != fault_kind::proxy_restart && fault.kind != fault_kind::proxy_end &&
@@ -694,8 +715,7 @@
     made.allow.may_probe = given.proxies.probes;
     made.allow.must_subscribe = true;
     // As the program has it where the list is told by itself (proxy/settings.cpp).
-    made.allow.must_ask_in =
-        given.list.form == list_form::central ? std::clamp(given.list.drain_grace * 0.25, 0.1, 1.0) : 10;
+    made.allow.must_ask_in = given.list.form == list_form::central ? list_patience(given.list) : 10;
     made.allow.max_executions = given.proxies.max_executions;
     made.allow.max_advice = given.proxies.advice;
     return made;
--- a/src/lab/world/spec.hpp
+++ b/src/lab/world/spec.hpp
@@ -233,6 +233,13 @@
 const char *name_of(fault_kind kind);
 const char *name_of(link_fault_kind kind);
 const char *name_of(link_kind kind);
+// All servers of a run, with those that join later.
+index all_servers(const experiment &given);
+// By proxy: whether a fault keeps it away at first.
+std::vector<bool> late_proxies(const experiment &given);
+// s within which the program wants an answer of a list that is told by itself, and asks again after a loss
+// (as proxy/settings.cpp has it).
+double list_patience(const list_spec &given);
 // The process of servers that one belongs to, where there are any.
 index host_of(const experiment &given, index server);
 // Whether a fault has an end of its own besides its beginning.
