Orderly release: the last answer of a connection is not lost to bytes unread

Cause: a client's connection closed straight after its last answer (listener::serve, life::answer_framed). With bytes unread in the system, as of a client that sends on, that is a reset, and what of the answer had not left yet was thrown away. Seen by the test: of 60,000 bytes to a client with a small window the end was missing.

Change: one function in net/sockets, release(): our side ends, what comes is read and dropped until the other side ends, for 0.2 s (2 s behind a long body that was turned off) and a bounded size; then it closes. What had this before for bad requests and long bodies goes by it now. Nothing that is read there is sent on. Connections that end at rest close as before: nothing is owed there, and a reset tells a client whose query crosses it that nobody read it.

Also, both by reading, without a test yet: connections that come while the last ones end are taken (listener::run), and a successor that is told to end before it knows its servers ends (service.cpp), in place of waiting for a list that may never come.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -4,6 +4,7 @@
 #include "net/threads.hpp"
 
 #include <algorithm>
+#include <array>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netdb.h>
@@ -147,6 +148,27 @@
     return got >= 0 ? got : errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? -2 : -1;
 }
 
+void release(tcp_socket &connection, double limit, std::size_t most) {
+    ::shutdown(connection.get(), SHUT_WR);
+    const double end = steady_now() + limit;
+    std::array<char, 4096> dropped;
+    for (std::size_t read = 0; read < most;) {
+        const long got = read_some(connection, dropped.data(), dropped.size());
+        if (got == 0 || got == -1)
+            break;
+        if (got > 0) {
+            read += static_cast<std::size_t>(got);
+            continue;
+        }
+        pollfd in{connection.get(), POLLIN, 0};
+        const double left = end - steady_now();
+        if (left <= 0)
+            break;
+        wait_on({&in, 1}, left);
+    }
+    connection.close();
+}
+
 waiting peek(const tcp_socket &from) {
     char byte;
     const auto got = ::recv(from.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -53,6 +53,11 @@
 // Bytes read; 0: the other side ended; -1: broken; -2: nothing there now.
 long read_some(const tcp_socket &from, char *to, std::size_t size);
 
+// An orderly release, for a connection on which the other side may still read what it was sent: our side
+// ends, and what comes is read and dropped until the other side ends, for `limit` s and `most` bytes. Then it
+// closes. Guards the last bytes on their way: closing over bytes unread is a reset, which destroys them.
+void release(tcp_socket &connection, double limit, std::size_t most);
+
 // What waits to be read.
 enum class waiting { nothing, bytes, close, reset };
 waiting peek(const tcp_socket &from);
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -45,10 +45,12 @@
         if (with_.ending() && connections() == 0)
             break;
     }
-    // Whoever connected since the last look is served still.
-    while (!succeeded() && take_one()) {
-    }
-    while (connections() > 0)
+    // Whoever connected since the last look is served still, also while the last ones end.
+    const auto take_all = [this] {
+        while (!succeeded() && take_one()) {
+        }
+    };
+    for (take_all(); connections() > 0; take_all())
         wait_on({}, short_pause);
     socket_.close();
 }
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -26,14 +26,15 @@
 constexpr double early_time = 0.1;        // ... or s since its head came, if it goes on
 constexpr double source_pause = 15;       // s that a server may pause in a long answer; it may swap
 constexpr double sink_pause = 30;         // s that a side may take for a window of a long body
-constexpr double upload_linger = 2;       // s in which a client may read why its long body was turned off
 constexpr double answer_margin = 0.05;    // s before the client's end in which no dial goes on
 constexpr double own_margin = 0.01; // s after the client's end; the router gives its final answer before
 constexpr double stall_share =
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
-constexpr double linger_limit = 0.2; // s in which a client may still read why it was turned off
-constexpr int linger_reads = 8;      // buffers read away in that time; more would cost more than it is worth
-constexpr index most_refused = 16;   // on a connection; then it ends, as its client does not learn
+// After a connection's last answer; more bytes would cost more than they are worth.
+constexpr linger_terms last_linger = {0.2, 512UL * 1024};
+// A client may read why its long body was turned off.
+constexpr linger_terms upload_linger = {2, longest_body};
+constexpr index most_refused = 16;     // on a connection; then it ends, as its client does not learn
 constexpr double refuse_pause = 0.005; // s before what follows is read; guards the CPU against the same again
 
 // What one execution came to; its answer, if whole, is in the reader.
@@ -64,8 +65,8 @@
     execution_end upload(const tcp_socket &to, http_reader &asked);
     bool is_long(const http_reader &answer, http_reader::state state, double head_at) const;
     execution_end pass_on(const tcp_socket &from, http_reader &answer);
-    void linger(double limit, int reads);
     const char *answer(int status, string_view fields, string_view body);
+    const char *answered_last(); // the client has the last answer of its connection
     const char *answer_framed(int status, string_view fields, string_view framing, string_view body);
     // The router is owed nothing more: what is still held or out for the query ends. No harm where it is
     // over.
@@ -127,8 +128,8 @@
     client_minor_ = asked.head().minor;
     // Bytes of a next query, which come before this one's answer only from a client that does not wait.
     const auto done = [&](const char *why) {
-        if (uploads_ && !body_came_ && why != nullptr && from_.socket)
-            linger(upload_linger, static_cast<int>(longest_body / buffer_size));
+        if (uploads_ && !body_came_ && from_.lingers.most > 0)
+            from_.lingers = upload_linger;
         if (why == nullptr && !asked.rest().empty()) {
             from_.filled = asked.rest().size();
             std::memmove(buffer_.get(), asked.rest().data(), from_.filled);
@@ -221,7 +222,7 @@
             const bool whole = end.result == outcome::completed;
             count_end(whole ? verdict::answered : verdict::errored);
             count.add(whole ? count::completed : count::aborted);
-            return done(!whole || !from_.socket ? "answer_cut" : keeps_ ? nullptr : "answered_last");
+            return done(!whole || !from_.socket ? "answer_cut" : keeps_ ? nullptr : answered_last());
         }
         if (end.given_up) {
             desk.dropped(ticket_, end.result);
@@ -291,25 +292,14 @@
     return refuse_text(state == http_reader::state::too_large ? 413 : 400, "bad_request");
 }
 
-// For bytes that are no query. What else the client sends is read away for a while, as an end with bytes
-// unread would destroy the answer on its way.
+// For bytes that are no query.
 const char *life::refuse_text(int status, const char *reason) {
     with_.count.add(count::bad_requests);
     keeps_ = false;
     answer(status, {}, {});
-    linger(linger_limit, linger_reads);
     return reason;
 }
 
-void life::linger(double limit, int reads) {
-    ::shutdown(from_.socket.get(), SHUT_WR);
-    const double end = with_.decides.now() + limit;
-    pollfd in{from_.socket.get(), POLLIN, 0};
-    for (; reads > 0 && wait_on({&in, 1}, end - with_.decides.now()) > 0; --reads)
-        if (read_some(from_.socket, buffer_.get(), buffer_size) <= 0)
-            break;
-}
-
 // For what can be read and is no query: the connection may go on, if it does not bring many of them.
 const char *life::refuse(int status, string_view fields, string_view why) {
     with_.count.add(count::bad_requests);
@@ -546,13 +536,22 @@
         with_.count.add(count::answers_cut);
         return "answer_cut";
     }
-    return keeps_ ? nullptr : "answered_last";
+    return keeps_ ? nullptr : answered_last();
+}
+
+const char *life::answered_last() {
+    // Guards room for others: where the connection ends for want of it, only what is there is read away.
+    from_.lingers = {from_.last || from_.crowded ? 0 : last_linger.limit, last_linger.most};
+    return "answered_last";
 }
 
 } // namespace
 
 const char *serve_query(engine &with, client &from) {
-    return life(with, from).run();
+    const char *const why = life(with, from).run();
+    if (why != nullptr && from.lingers.most > 0)
+        release(from.socket, from.lingers.limit, from.lingers.most);
+    return why;
 }
 
 } // namespace harrierpass::proxy
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -43,6 +43,12 @@
     static constexpr double away_pause = 1; // s; the front asks every 0.1 s and goes on for 0.2 s
 };
 
+// For how long, and over how many bytes, a client's connection is released.
+struct linger_terms {
+    double limit = 0;     // s
+    std::size_t most = 0; // bytes; 0: it closes at once
+};
+
 struct client {
     tcp_socket socket;
     buffer_pool::lease buffer; // held between queries only with bytes of the next one in it
@@ -51,6 +57,7 @@
     index queries = 0;    // begun on it, this one included
     index refused = 0;    // of them, that were none
     bool last = false;    // its next answer ends the connection, as there are many
+    linger_terms lingers; // at its end
     bool crowded = false; // beyond what can be served: refused at once
 };
 
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -100,9 +100,13 @@
         link_up();
         open_door(); // ahead of the acceptor, which ends by end() alone: it may fail
         acceptor_.emplace([this, inherited] {
-            // Guards clients against a successor that does not know its servers yet.
-            while (inherited && !catalog_.ready())
+            // Guards clients against a successor that does not know its servers yet. One that is told to end
+            // before takes none: the process before serves on.
+            while (inherited && !catalog_.ready()) {
+                if (engine_.draining())
+                    return;
                 wait_on({}, short_wait);
+            }
             if (handover_)
                 handover_->serve();
             takes_ = true;
