An origin that refused once is asked again after an answer's time, not after a second

Its answers took 0.1 to 0.2 s, its refusals 1 to 20 ms: its queue is short. Caches keep what they have for 5 to 12 s, so what was not fetched meanwhile came back as misses. Ruled out: the origin's limit (open), shares (4% of what was turned away), the limit on all (72 for 2 in hand).

Cause: router.cpp, ended: one refusal left the origin alone for trust_memory, 0.5 to 1.5 s, whatever its answers take.

Change: the rest begins at the mean answer time, doubles with each further refusal up to that second, and halves with each answer, so that refusals are about as many as answers: twice what the origin does, under what it bears. What was out together counts once.

Test: trace origin_rest; with the text before both queries wait until 0.7 s for what goes at 0.15 s now, and the last is never sent.

--- a/src/router/records.hpp
+++ b/src/router/records.hpp
@@ -80,7 +80,8 @@
     double quiet = 0, silent = 0; // execution-seconds without a sign of life, and seconds of it
     double quiet_at = 0;          // up to when
     double cold_since = 0, full_until = 0;
-    double told = 0, told_at = 0; // queries in hand by its last report, and when
+    double rest = 0, refused_at = 0; // the origin's: s that it is left alone; when it last refused
+    double told = 0, told_at = 0;    // queries in hand by its last report, and when
     double condemned_at = 0, trial_at = 0, gap = 0;
 };
 
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -523,12 +523,18 @@
         srv.bad += worse > 0 ? worse * (1 - srv.bad) : answered ? -bad_weight * srv.bad : 0;
         if (counted && (result == outcome::completed || result == outcome::miss)) {
             mean_answer_ += slow_weight / 4 * (elapsed - mean_answer_);
+            srv.rest /= 2;
             // Guards the use case with the least time: all come to the one origin, and wait for each other.
             learn(srv, run.sent, run.server == origin_ ? elapsed / shortest_ : share, fetched);
         } else if (run.server == origin_ &&
                    (result == outcome::queue_full || result == outcome::connect_error)) {
-            // Guards an origin that refuses or is down against being asked at once, again and by all.
-            srv.full_until = now + trust_memory * (0.5 + chance());
+            // Guards an origin that refuses or is down against being asked at once, again and by all, and
+            // caches against an origin that is left alone with room: the rest doubles with each refusal and
+            // halves with each answer. What was out together was refused once.
+            if (run.sent >= srv.refused_at)
+                srv.rest = std::clamp(2 * srv.rest, mean_answer_, trust_memory);
+            srv.refused_at = now;
+            srv.full_until = now + srv.rest * (0.5 + chance());
             learn(srv, run.sent, 1, false);
         } else if (result == outcome::queue_full) {
             srv.full_until = now + mean_answer_; // it keeps itself from harm, and costs next to nothing
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -13,10 +13,10 @@
 TEST_CASE("decisions match the kept traces") {
     const std::string folder = HARRIERPASS_TRACES;
     for (const std::string name :
-         {"walk",         "effects",    "timeout",      "drain",   "cold",    "miss",
-          "origin_limit", "tenants",    "subscription", "silence", "cancel",  "jam",
-          "crowd",        "small_ring", "resets",       "errors",  "stuck",   "beyond",
-          "reports",      "full",       "refusing",     "adopt",   "dropped", "faults"}) {
+         {"walk",    "effects",      "timeout", "drain",      "cold",    "miss",  "origin_limit",
+          "tenants", "subscription", "silence", "cancel",     "jam",     "crowd", "small_ring",
+          "resets",  "errors",       "stuck",   "beyond",     "reports", "full",  "refusing",
+          "adopt",   "dropped",      "faults",  "origin_rest"}) {
         CAPTURE(name);
         const std::string kept = read_file(folder + "/" + name + ".txt");
         CHECK(!kept.empty());
