The next call to discovery has a descriptor of its own

Cause: the connection to discovery was dialled with whatever descriptor was free.

Change: the socket of the next connection is made beforehand and kept (catalog, spare_), so that nobody can take it meanwhile.

--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -4,8 +4,8 @@
 #include "net/threads.hpp"
 
 #include <algorithm>
-#include <array>
 #include <arpa/inet.h>
+#include <array>
 #include <cerrno>
 #include <netdb.h>
 #include <netinet/tcp.h>
@@ -59,8 +59,12 @@
     return std::string(host) + ":" + port;
 }
 
-tcp_socket dial(const address &to, double limit) {
-    tcp_socket made(::socket(to.where.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0));
+tcp_socket socket_for(const address &to) {
+    return tcp_socket(::socket(to.where.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0));
+}
+
+tcp_socket dial(const address &to, double limit, tcp_socket by) {
+    tcp_socket made = by ? std::move(by) : socket_for(to);
     if (!made)
         return made;
     set_flag(made.get(), IPPROTO_TCP, TCP_NODELAY);
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -37,8 +37,10 @@
 std::optional<address> parse_address(std::string_view text);
 std::string to_text(const address &from);
 
-// Empty: errno tells why. A connection that is not up within the limit never came up.
-tcp_socket dial(const address &to, double limit);
+// A socket for dial(), made beforehand: a descriptor that nobody else can take. Empty: errno tells why.
+tcp_socket socket_for(const address &to);
+// Empty: errno tells why. A connection that is not up within the limit never came up. `by`: see above.
+tcp_socket dial(const address &to, double limit, tcp_socket by = {});
 tcp_socket listen_on(const address &at, bool shared = false); // shared: others of this user may listen, too
 address local_address(const tcp_socket &of);
 
--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -303,7 +303,10 @@
     if (socket_ && peek(socket_) != waiting::nothing)
         end_connection("stale");
     if (!socket_)
-        socket_ = dial(*where_, std::min(limit, calls_->paced().answer_limit));
+        socket_ =
+            dial(*where_, std::min(limit, calls_->paced().answer_limit), std::exchange(spare_, tcp_socket()));
+    if (!spare_)
+        spare_ = socket_for(*where_);
     if (!socket_)
         return made;
     const std::string asks = "GET " + target + " HTTP/1.1\r\nHost: " + to_text(*where_) + "\r\n\r\n";
@@ -400,6 +403,7 @@
                 next = given_ = std::exchange(next_, nullptr);
             }
             where_ = parse_address(given_->discovery);
+            spare_.close(); // it may be of another family of addresses
             calls_->moved(desk_.now(), given_->list_terms);
         }
         if (asked_.exchange(false))
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -82,6 +82,7 @@
     std::shared_ptr<const configuration> given_; // by which lists are read now; the follower's thread's own
     std::optional<address> where_;
     tcp_socket socket_; // to discovery
+    tcp_socket spare_;  // for the next one: guards the list against clients that hold every descriptor
     std::vector<char> buffer_;
     std::mutex members_; // of what follows, up to places_
     by_hand hands_;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -8,6 +8,8 @@
 #include "net/threads.hpp"
 #include "router/router.hpp"
 
+#include <netinet/tcp.h>
+#include <sys/resource.h>
 #include <vector>
 
 namespace harrierpass::proxy {
@@ -106,6 +108,9 @@
     const tcp_socket narrow(::socket(AF_INET, SOCK_STREAM, 0));
     const int little = 1024; // bytes; most of the body finds no room
     ::setsockopt(narrow.get(), SOL_SOCKET, SO_RCVBUF, &little, sizeof little);
+    // The system gives a connection of small segments little room to send from, too: less than the body.
+    const int segment = 536;
+    ::setsockopt(narrow.get(), IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
     const address any = *parse_address("127.0.0.1:0");
     REQUIRE(::bind(narrow.get(), reinterpret_cast<const sockaddr *>(&any.where), any.size) == 0);
     REQUIRE(::listen(narrow.get(), 8) == 0);
@@ -174,8 +179,77 @@
     CHECK(with.executions() == 1);
 }
 
+// ---- Signals
+
+// Guards clients at an upgrade: a successor that is told to end before it knows its servers takes nobody
+// over.
+TEST_CASE("crossing: a signal to end comes to a successor whose list never comes") {
+    const own_directory own;
+    stand with({.port = free_port(), .control = true, .starts = false});
+    running first(with, "serves.json");
+    with.silent = true;
+    auto &config = with.config;
+    config.replace(config.find("\"known\":"), 0, "\"startup\":{\"list_service\":\"shared\"},");
+    running next(with, "never.json");
+    next.proxy.wait_for("taken-over");
+    next.ends();
+    CHECK(first.proxy.text().find("succeeded") == std::string::npos);
+    CHECK(told(toy_client(first.port).ask(asks("read", "1"))) == "HTTP/1.1 200 [value]");
+    first.ends();
+}
+
+// Guards a query in hand against signals that come on top of each other.
+TEST_CASE("crossing: a reload and two signals to end while a query is out") {
+    stand with({.replies = {"hold"}, .starts = false});
+    running one(with, "signals.json");
+    toy_client client(one.port);
+    client.send(asks("audit", "1"));
+    with.wait_for_execution();
+    for (const int signal : {SIGHUP, SIGTERM, SIGTERM})
+        one.proxy.signal(signal);
+    one.proxy.wait_for("draining ");
+    for (auto &server : with.servers)
+        server.push(ok("late"));
+    CHECK(told(client.read()) == "HTTP/1.1 200 [late]");
+    CHECK(one.proxy.status() == 0);
+}
+
 // ---- Discovery
 
+// Guards the list: a client has taken the descriptor of the connection to discovery by the time of the next
+// call. One at rest would be ended to make room; this one is in the middle of its query.
+TEST_CASE("crossing: clients take every descriptor while discovery is away") {
+    stand with({.starts = false});
+    running one(with, "full.json");
+    const auto fds = "/proc/" + std::to_string(one.proxy.id()) + "/fd/";
+    rlimit most{}; // no new descriptor but in the place of one that closes
+    ::prlimit(one.proxy.id(), RLIMIT_NOFILE, nullptr, &most);
+    const auto least_free = [&] {
+        rlim_t free = 0;
+        while (std::filesystem::is_symlink(fds + std::to_string(free)))
+            ++free;
+        return free;
+    };
+    most.rlim_cur = least_free();
+    ::prlimit(one.proxy.id(), RLIMIT_NOFILE, &most, nullptr);
+    const auto calls = with.discovery.count();
+    with.discovery.push("close");
+    one.proxy.wait_for("reason=list_lost");
+    toy_client client(one.port);
+    client.send("GET /_health HTTP/1.1\r\n");
+    wait_until([&] { return least_free() == most.rlim_cur; });
+    const auto lost = [&] {
+        std::size_t times = 0;
+        const std::string text = one.proxy.text();
+        for (auto at = text.find("list-lost"); at != std::string::npos; at = text.find("list-lost", at + 1))
+            ++times;
+        return times;
+    };
+    wait_until([&] { return with.discovery.count() > calls || lost() > 1; });
+    CHECK(with.discovery.count() > calls);
+    one.ends();
+}
+
 // Guards drains: a change counts as told 6 s after discovery had it and could be reached, whatever calls
 // failed before. All that may lie between, in the worst case, for what settings may say of a list and its
 // drains.
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -442,6 +442,7 @@
     program(const program &) = delete;
     program &operator=(const program &) = delete;
     void signal(int which) const { ::kill(id_, which); }
+    pid_t id() const { return id_; }
     std::string text() {
         const std::lock_guard hold(lock_);
         return text_;
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -198,26 +198,6 @@
 
 namespace {
 
-int free_port() {
-    toy_server here([](const std::string &) { return "close"; });
-    const std::string at = here.at();
-    return std::stoi(at.substr(at.rfind(':') + 1));
-}
-
-// A private directory as the platform gives one, for as long as it lives.
-struct own_directory {
-    own_directory()
-        : path(std::filesystem::temp_directory_path() / ("harrierpass-test-" + std::to_string(::getpid()))) {
-        std::filesystem::create_directory(path);
-        ::setenv("TMPDIR", path.c_str(), 1);
-    }
-    ~own_directory() {
-        ::unsetenv("TMPDIR");
-        std::filesystem::remove_all(path);
-    }
-    std::filesystem::path path;
-};
-
 void wait_until_ready(int door) {
     while (status_of(call_door(door, "GET /ready")) != "HTTP/1.1 200")
         std::this_thread::yield();
--- a/tests/stand.hpp
+++ b/tests/stand.hpp
@@ -26,7 +26,7 @@
     int statement_ms = 3000;
     int dial_ms = 250;
     int window_ms = 9000; // of deduplicated queries
-    bool starts = true; // the proxy
+    bool starts = true;   // the proxy
 };
 
 // A server whose queue of connections is full: the next one comes up only when there is room again.
@@ -53,9 +53,9 @@
     explicit stand(const stand_options &given = {}) : replies(given.replies), silent(given.silent) {
         const auto use = [&](const char *name, const char *effect, int slo_ms) {
             return R"({"group":"all","windowMs":)" + std::to_string(given.window_ms) +
-                   R"(,"importance":1,"name":")" + std::string(name) +
-                   R"(","effect":")" + effect + R"(","sloTimeMs":)" + std::to_string(slo_ms) +
-                   R"(,"statementTimeoutMs":)" + std::to_string(given.statement_ms) + "}";
+                   R"(,"importance":1,"name":")" + std::string(name) + R"(","effect":")" + effect +
+                   R"(","sloTimeMs":)" + std::to_string(slo_ms) + R"(,"statementTimeoutMs":)" +
+                   std::to_string(given.statement_ms) + "}";
         };
         config = R"({"name":"p0","listen":"127.0.0.1:)" + std::to_string(given.port) + R"(","discovery":")" +
                  discovery.at() + R"(","seed":"8c1f30d27a5be964","limits":{"sockets":)" +
@@ -135,6 +135,26 @@
     return answer.substr(0, 12) + (head == std::string::npos ? " cut" : " [" + answer.substr(head + 4) + "]");
 }
 
+inline int free_port() {
+    toy_server here([](const std::string &) { return "close"; });
+    const std::string at = here.at();
+    return std::stoi(at.substr(at.rfind(':') + 1));
+}
+
+// A private directory as the platform gives one, for as long as it lives.
+struct own_directory {
+    own_directory()
+        : path(std::filesystem::temp_directory_path() / ("harrierpass-test-" + std::to_string(::getpid()))) {
+        std::filesystem::create_directory(path);
+        ::setenv("TMPDIR", path.c_str(), 1);
+    }
+    ~own_directory() {
+        ::unsetenv("TMPDIR");
+        std::filesystem::remove_all(path);
+    }
+    std::filesystem::path path;
+};
+
 // The program itself, started with a stand's configuration in a file that it may be told to read again.
 struct running {
     running(stand &with, const std::string &file)
