--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -230,6 +230,9 @@
             ++free;
         return free;
     };
+    // The sanitizers ask the system for descriptors where a type is met for the first time: it is not here.
+    toy_client(one.port).ask("GET /_health HTTP/1.1\r\n\r\n");
+    one.proxy.wait_for("connection-end side=client");
     most.rlim_cur = least_free();
     ::prlimit(one.proxy.id(), RLIMIT_NOFILE, &most, nullptr);
     const auto calls = with.discovery.count();
@@ -237,7 +240,8 @@
     one.proxy.wait_for("reason=list_lost");
     toy_client client(one.port);
     client.send("GET /_health HTTP/1.1\r\n");
-    wait_until([&] { return least_free() == most.rlim_cur; });
+    wait_until([&] { return least_free() == most.rlim_cur || least_free() == 0; });
+    REQUIRE(least_free() > 0); // it lives
     const auto lost = [&] {
         std::size_t times = 0;
         const std::string text = one.proxy.text();
@@ -245,7 +249,7 @@
             ++times;
         return times;
     };
-    wait_until([&] { return with.discovery.count() > calls || lost() > 1; });
+    wait_until([&] { return with.discovery.count() > calls || lost() > 1 || least_free() == 0; });
     CHECK(with.discovery.count() > calls);
     one.ends();
 }
