--- a/src/proxy/settings.cpp
+++ b/src/proxy/settings.cpp
@@ -52,8 +52,6 @@
     return std::string(text);
 }
 
-} // namespace
-
 double bounded(const json &from, std::string_view name, double absent, double least, double most) {
     const double value = from.number_at(name, absent);
     if (!(value >= least && value <= most)) {
@@ -85,6 +83,8 @@
     to.snapshot_age = bounded(*from, "snapshot_age_s", usual_age, 1, 1e9);
 }
 
+} // namespace
+
 configuration read_configuration(std::string_view text) {
     const json all = read_json(text);
     const json *given = all.find("settings");
@@ -121,17 +121,18 @@
     made.list_terms.must_ask_in = made.decisions.allow.must_ask_in;
     made.list_terms.agent_wait = usual_watch;
     made.list_terms.agent_limit = usual_limit;
-    auto &ask_in = made.decisions.allow.must_ask_in;
-    if (made.list_terms.service == startup::list_form::agent)
+    if (made.list_terms.service == startup::list_form::agent) {
+        auto &ask_in = made.decisions.allow.must_ask_in;
         ask_in = std::min(ask_in, most_pause);
-    if (paths.text("discovery") != "subscribe" && made.list_terms.service == startup::list_form::agent) {
-        // Guards "drains are kept": what the agent beside the proxy has counts as told, asked for or not. So
-        // a silent agent is found out and asked again well within the grace; there that costs nobody
-        // anything.
-        const double part = std::clamp(paths.seconds("rules.drainGraceMs", 2) * grace_share, 0.1, 1.0);
-        ask_in = std::min(ask_in, part);
-        made.list_terms.agent_limit = part;
-        made.list_terms.agent_wait = prompt_watch;
+        if (paths.text("discovery") != "subscribe") {
+            // Guards "drains are kept": what the agent beside the proxy has counts as told, asked for or not.
+            // So a silent agent is found out and asked again well within the grace; there that costs nobody
+            // anything.
+            const double part = std::clamp(paths.seconds("rules.drainGraceMs", 2) * grace_share, 0.1, 1.0);
+            ask_in = std::min(ask_in, part);
+            made.list_terms.agent_limit = part;
+            made.list_terms.agent_wait = prompt_watch;
+        }
     }
     made.use_cases = names_in(*given, "useCases", "name");
     made.tenants = names_in(*given, "tenants", "name");
--- a/src/proxy/snapshot_file.cpp
+++ b/src/proxy/snapshot_file.cpp
@@ -2,6 +2,7 @@
 #include "proxy/snapshot_file.hpp"
 
 #include "base/text.hpp"
+#include "net/sockets.hpp" // tcp_socket holds any descriptor
 
 #include <cerrno>
 #include <cstdio>
@@ -15,21 +16,6 @@
 
 constexpr std::size_t largest = 4UL * 1024 * 1024; // bytes; four times the longest list
 
-class descriptor {
-public:
-    explicit descriptor(int fd) : fd_(fd) {}
-    ~descriptor() {
-        if (fd_ >= 0)
-            ::close(fd_);
-    }
-    descriptor(const descriptor &) = delete;
-    descriptor &operator=(const descriptor &) = delete;
-    int get() const { return fd_; }
-
-private:
-    int fd_;
-};
-
 bool write_whole(int fd, std::string_view text) {
     while (!text.empty()) {
         const ssize_t wrote = ::write(fd, text.data(), text.size());
@@ -56,9 +42,9 @@
 
 bool write_snapshot(const std::string &path, const std::string &text) {
     const std::string aside = path + ".new"; // what a killed process left is written over
-    const descriptor to(::open(aside.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0644));
+    const tcp_socket to(::open(aside.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, 0644));
     // Guards against the other process of an upgrade: one writes at a time, and never into what was renamed.
-    if (to.get() < 0 || ::flock(to.get(), LOCK_EX | LOCK_NB) != 0 || !is_at(to.get(), aside))
+    if (!to || ::flock(to.get(), LOCK_EX | LOCK_NB) != 0 || !is_at(to.get(), aside))
         return false;
     if (::ftruncate(to.get(), 0) == 0 && write_whole(to.get(), text) &&
         std::rename(aside.c_str(), path.c_str()) == 0)
@@ -70,8 +56,8 @@
 }
 
 snapshot_found read_snapshot_of(const configuration &given, double now) {
-    const descriptor from(::open(given.snapshot.c_str(), O_RDONLY | O_CLOEXEC));
-    if (from.get() < 0)
+    const tcp_socket from(::open(given.snapshot.c_str(), O_RDONLY | O_CLOEXEC));
+    if (!from)
         return {errno == ENOENT ? "absent" : "unreadable", {}, 0};
     std::string text(largest, '\0');
     std::size_t size = 0;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -121,7 +121,6 @@
     asked.replace(asked.find("Content-Length: 4"), 17, "Content-Length: " + std::to_string(body.size()));
     asked.replace(asked.find("\r\n\r\nbody") + 4, 4, body);
     std::thread resets([&] {
-        address peer;
         tcp_socket came(::accept(narrow.get(), nullptr, nullptr));
         char first;
         ::recv(came.get(), &first, 1, MSG_PEEK);
@@ -242,13 +241,7 @@
     client.send("GET /_health HTTP/1.1\r\n");
     wait_until([&] { return least_free() == most.rlim_cur || least_free() == 0; });
     REQUIRE(least_free() > 0); // it lives
-    const auto lost = [&] {
-        std::size_t times = 0;
-        const std::string text = one.proxy.text();
-        for (auto at = text.find("list-lost"); at != std::string::npos; at = text.find("list-lost", at + 1))
-            ++times;
-        return times;
-    };
+    const auto lost = [&] { return test::count_of(one.proxy.text(), "list-lost"); };
     wait_until([&] { return with.discovery.count() > calls || lost() > 1 || least_free() == 0; });
     CHECK(with.discovery.count() > calls);
     one.ends();
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -34,6 +34,13 @@
     return text.str();
 }
 
+inline std::size_t count_of(const std::string &text, const std::string &what) {
+    std::size_t count = 0;
+    for (std::size_t at = 0; (at = text.find(what, at)) != std::string::npos; at += what.size())
+        ++count;
+    return count;
+}
+
 // Plays a script of events to a router and writes it out again with the decisions taken after each event.
 // A line that starts with a digit is an event at that time; decisions are indented; the first lines set up.
 class script {
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -4,6 +4,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "helpers.hpp"
 #include "lab_helpers.hpp"
+#include "process_helpers.hpp"
 
 #include "lab/judge/plot.hpp"
 #include "lab/judge/report.hpp"
@@ -419,13 +420,7 @@
 }
 
 run_result on_sockets(const std::string &rest, bool embeds, decider by = decider::module) {
-    socket_options how;
-    how.program = HARRIERPASS_PROGRAM;
-    how.self = HARRIERPASS_LAB_PROGRAM;
-    how.embeds = embeds;
-    variant_spec as;
-    as.by = by;
-    const auto run = run_on_sockets(made(rest), as, 3, how);
+    const auto run = on_sockets(made(rest), "", plant::nothing, by, embeds);
     CAPTURE(run.stories);
     std::string stories;
     for (const auto &each : run.stories)
--- a/tests/process_helpers.hpp
+++ b/tests/process_helpers.hpp
@@ -2,12 +2,15 @@
 // Runs of real processes in tests: the run itself, its figures, its folder and its logs.
 #pragma once
 
+#include "helpers.hpp"
+
 #include "lab/runs/socket_run.hpp"
 
 #include <filesystem>
 #include <unistd.h>
 
 namespace harrierpass::lab {
+using test::count_of;
 
 inline std::string folder_of(const char *name) {
     const std::string made =
@@ -17,11 +20,13 @@
 }
 
 inline run_result on_sockets(const experiment &given, const std::string &logs = "",
-                             plant breaks = plant::nothing, decider by = decider::module) {
+                             plant breaks = plant::nothing, decider by = decider::module,
+                             bool embeds = false) {
     socket_options how;
     how.program = HARRIERPASS_PROGRAM;
     how.self = HARRIERPASS_LAB_PROGRAM;
     how.logs = logs;
+    how.embeds = embeds;
     variant_spec as;
     as.breaks = breaks;
     as.by = by;
@@ -35,11 +40,4 @@
     return -1.0;
 }
 
-inline std::size_t count_of(const std::string &text, const std::string &what) {
-    std::size_t count = 0;
-    for (std::size_t at = 0; (at = text.find(what, at)) != std::string::npos; at += what.size())
-        ++count;
-    return count;
-}
-
 } // namespace harrierpass::lab
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -262,10 +262,7 @@
     std::string told_all;
     for (std::string part; !(part = many.read()).empty();)
         told_all += part;
-    std::size_t refused = 0;
-    for (std::size_t at = 0; (at = told_all.find("HTTP/1.1 400", at)) != std::string::npos; ++at)
-        ++refused;
-    CHECK(refused == 16);
+    CHECK(test::count_of(told_all, "HTTP/1.1 400") == 16);
     CHECK(told_all.find("Connection: close") != std::string::npos);
     // Two at once from a client that does not wait: answered in order.
     toy_client client(with.port);
@@ -774,11 +771,7 @@
             }
         });
     const auto count = [&](const std::string &line) {
-        const std::string all = it.proxy.text();
-        int found = 0;
-        for (auto at = all.find(line); at != std::string::npos; at = all.find(line, at + 1))
-            ++found;
-        return found;
+        return static_cast<int>(test::count_of(it.proxy.text(), line));
     };
     int switches = 0;
     while (asked < workers * each || switches % 2 != 0) {
