Logs: each request, attempt and close of a stop with its id, reason and time since the signal

Change: signal-received lines; request-end and execution-end with the request's id, attempts, refusal's reason and time since the signal, at info from the signal on and at debug before; connection-end tells the rest before its end. No decision changed.

--- a/src/base/log.hpp
+++ b/src/base/log.hpp
@@ -23,6 +23,9 @@
     template <typename... Parts> void info(const Parts &...parts) { line(level::info, parts...); }
     template <typename... Parts> void warning(const Parts &...parts) { line(level::warning, parts...); }
     template <typename... Parts> void error(const Parts &...parts) { line(level::error, parts...); }
+    // For lines whose level depends on the state that the program is in.
+    template <typename... Parts> void at(level how, const Parts &...parts) { line(how, parts...); }
+    bool writes(level how) const { return how >= least_; }
 
 private:
     template <typename... Parts> void line(level how, const Parts &...parts) {
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -131,7 +131,8 @@
     with_.servers.leave_to_clients(connections() - 1, with_.decides.now());
     with_.count.add(count::clients_ended);
     with_.lines.info("connection-end side=client peer=", peer, " queries=", from.queries,
-                     " open=", with_.decides.now() - from.since, " reason=", reason);
+                     " open=", with_.decides.now() - from.since, " rested=", me.rested,
+                     " stopping-for=", with_.stopping_for(), " reason=", reason);
     const std::lock_guard hold(lock_);
     entries_.remove_if([&](const entry &each) { return &each == &me; });
 }
@@ -164,6 +165,7 @@
         there = peek(from.socket);
     }
     set_idle(me, false);
+    me.rested = with_.decides.now() - since;
     return there == waiting::bytes   ? nullptr
            : there == waiting::close ? "client_closed"
            : there == waiting::reset ? "client_reset"
--- a/src/proxy/listener.hpp
+++ b/src/proxy/listener.hpp
@@ -34,6 +34,7 @@
         bool started = false;
         bool idle = false;
         double idle_since = 0;
+        double rested = 0;               // s at rest before its latest request, or before its end
         std::atomic<bool> asked = false; // has brought a query before
         std::atomic<bool> to_end = false;
     };
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -55,6 +55,9 @@
     }
 
     const char *run();
+    // One line for the request: what it was answered, after how many attempts, and what became of its
+    // connection.
+    void log_end(const char *connection_reason) const;
 
 private:
     const char *read(http_reader &asked);
@@ -113,6 +116,12 @@
     bool keeps_ = true;      // the client's connection, after this query
     double statement_end_ = 0;
     double stall_limit_ = 0; // s in which an answer that has begun must go on
+
+    std::string request_id_;            // as the client gave it
+    double read_at_ = 0;                // Unix time, s, when its last byte was read; 0: it never was
+    int status_ = 0;                    // of the answer that was begun; 0: none was
+    index attempts_ = 0;                // begun at servers
+    const char *refused_for_ = nullptr; // why it was turned away here, where it was
 };
 
 // The whole of it: read, told to the router, held, executed as often as the router says, answered.
@@ -147,18 +156,21 @@
     auto wanted = understand(asked.head(), *given_);
     if (wanted.fault != nullptr)
         return done(refuse(400, {}, wanted.fault));
-    const double came = desk.now();
+    const double came = read_at_ = desk.now();
+    request_id_ = asked.head().value("X-Request-Id");
     if (!uploads_)
         take_count();
     use_case_ = given_->use_cases[wanted.made.use_case];
     // Guards "no effect twice" and whoever asked first: two with one id cannot be told apart at the servers.
     if (!(id_ = with_.ids.take(std::string(asked.head().value("X-Request-Id"))))) {
         count_end(verdict::errored);
+        refused_for_ = "id_in_use";
         return done(refuse(409, {}, "a query with this X-Request-Id is open\n"));
     }
     count.add(count::taken);
     if (from_.crowded) {
         count.add(count::crowded_out);
+        refused_for_ = "too_many_connections";
         keeps_ = false;
         return done(final_answer(verdict::deferred, 503, come_back_in(given_->decisions.allow.max_advice)));
     }
@@ -188,15 +200,18 @@
                 return "client_left";
             if (now.what == orders::kind::abort) {
                 count.add(count::aborted);
+                refused_for_ = "router_aborted";
                 return done(final_answer(verdict::errored, desk.now() < statement_end_ - 0.1 ? 502 : 504));
             }
             count.add(count::rejected);
+            refused_for_ = "router_rejected";
             return done(final_answer(verdict::deferred, 503, come_back_in(now.come_back)));
         }
         // Guards against a planned end that would cut it off, and against a held query that nobody ends.
         if (desk.now() >= patience() + own_margin) {
             let_go();
             count.add(count::aborted);
+            refused_for_ = desk.now() >= stop_by() ? "stopping" : "out_of_time";
             return done(final_answer(verdict::errored, 504));
         }
         if (now.what == orders::kind::hold) {
@@ -255,6 +270,20 @@
     }
 }
 
+void life::log_end(const char *connection_reason) const {
+    const double now = with_.decides.now();
+    const bool unanswered = read_at_ > 0 && status_ == 0;
+    const level how = with_.request_level();
+    if (!with_.lines.writes(how) || (read_at_ == 0 && status_ == 0))
+        return;
+    with_.lines.at(how, "request-end id=", request_id_, " use-case=", use_case_, " status=", status_,
+                   " attempts=", attempts_, " took=", read_at_ > 0 ? now - read_at_ : 0,
+                   " left=", read_at_ > 0 ? statement_end_ - now : 0, " stopping-for=", with_.stopping_for(),
+                   " refused-for=", refused_for_ != nullptr ? refused_for_ : "-",
+                   " connection=", connection_reason != nullptr ? connection_reason : "kept",
+                   unanswered ? " unanswered=1" : "");
+}
+
 const char *life::read(http_reader &asked) {
     const double now = with_.decides.now();
     double end = from_.queries > 1 ? now + head_time : std::min(now + head_time, from_.since + first_limit);
@@ -359,6 +388,7 @@
         });
         if (begins) {
             with_.count.add(count::sent);
+            ++attempts_;
             ++to.executions;
         }
         if (!in_use) {
@@ -424,9 +454,11 @@
         }
     }
     with_.count.add(kinds[static_cast<std::size_t>(come.result)]);
-    with_.lines.debug("execution-end server=", with_.servers.id_of(now.server), " number=", now.execution,
-                      " status=", answer.head().status, " note=", answer.head().value("X-Cache"),
-                      " reason=", come.reason != nullptr ? come.reason : "answered");
+    if (const level how = with_.request_level(); with_.lines.writes(how))
+        with_.lines.at(how, "execution-end id=", request_id_, " server=", with_.servers.id_of(now.server),
+                       " number=", now.execution, " stopping-for=", with_.stopping_for(),
+                       " status=", answer.head().status, " note=", answer.head().value("X-Cache"),
+                       " reason=", come.reason != nullptr ? come.reason : "answered");
     if (!to.socket)
         return come;
     if (come.reason == nullptr && answer.head().keeps_alive() && answer.rest().empty()) {
@@ -496,6 +528,7 @@
     const bool old_client = client_minor_ == 0;
     const auto how = answer.length() ? framing::counted : old_client ? framing::by_close : framing::chunked;
     keeps_ = may_keep() && how != framing::by_close;
+    status_ = 200;
     const std::string head = answer_head(200, passed_on(answer.head()),
                                          how == framing::counted   ? length_field(*answer.length())
                                          : how == framing::chunked ? std::string(chunked_field)
@@ -530,6 +563,7 @@
 
 const char *life::answer_framed(int status, string_view fields, string_view framing, string_view body) {
     keeps_ = may_keep();
+    status_ = status;
     id_ = {}; // guards a client that uses it again as soon as it has the answer
     const std::string head = answer_head(status, fields, framing, keeps_);
     if (!write_all(from_.socket, head, head_only_ ? string_view{} : body, write_limit)) {
@@ -548,7 +582,12 @@
 } // namespace
 
 const char *serve_query(engine &with, client &from) {
-    const char *const why = life(with, from).run();
+    const char *why = nullptr;
+    {
+        life request(with, from);
+        why = request.run();
+        request.log_end(why);
+    } // its buffer is free while the connection lingers
     if (why != nullptr && from.lingers.most > 0)
         release(from.socket, from.lingers.limit, from.lingers.most);
     return why;
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -35,6 +35,12 @@
 
     std::atomic<bool> handed_over = false; // another process takes the clients; this one ends
 
+    // Level of the lines about single requests and attempts: from the signal to end on all of them are
+    // written, as what is in hand then is what a stop may lose.
+    level request_level() const { return draining() ? level::info : level::debug; }
+    // s since the signal to end; negative: there was none.
+    double stopping_for() const { return draining() ? decides.now() - drain_at.load() : -1; }
+
     bool draining() const { return decides.now() >= drain_at.load(); }
     bool ending() const { return decides.now() >= close_at.load(); }
     bool away() const { return decides.now() >= away_at.load(); }
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -254,7 +254,8 @@
     if (!acceptor_)
         return;
     engine_.handed_over = handover_ && handover_->succeeded();
-    log_.info("draining grace=", grace, " handed-over=", engine_.handed_over.load());
+    log_.info("draining grace=", grace, " last-answer=", engine_.last_answer.load(),
+              " connections=", listener_->connections(), " handed-over=", engine_.handed_over.load());
     engine_.close_at = desk_.now() + grace;
     engine_.drain_at = desk_.now();
     call(acceptor_->id());
@@ -330,6 +331,7 @@
                       decides);
         for (int signal = 0; signal != SIGTERM && signal != SIGINT;) {
             sigwait(&taken, &signal);
+            proxy.lines().info("signal-received number=", signal);
             if (signal == SIGUSR1)
                 proxy.counted().print(std::clog);
             if (signal != SIGHUP)
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -308,6 +308,10 @@
         const std::lock_guard hold(lock_);
         return seen_.empty() ? "" : seen_.back();
     }
+    bool saw(const std::string &part) { // in any request
+        const std::lock_guard hold(lock_);
+        return std::ranges::any_of(seen_, [&](const auto &each) { return each.find(part) != each.npos; });
+    }
     std::size_t connections() {
         const std::lock_guard hold(lock_);
         return threads_.size();
--- a/tests/stand.hpp
+++ b/tests/stand.hpp
@@ -27,6 +27,7 @@
     int dial_ms = 250;
     int window_ms = 9000; // of deduplicated queries
     bool starts = true;   // the proxy
+    int work_ms = 0;      // that a server takes for each answer
 };
 
 // A server whose queue of connections is full: the next one comes up only when there is room again.
@@ -50,7 +51,8 @@
 
 // Discovery, two servers that answer by one list of texts, and a proxy before them.
 struct stand {
-    explicit stand(const stand_options &given = {}) : replies(given.replies), silent(given.silent) {
+    explicit stand(const stand_options &given = {})
+        : replies(given.replies), work(given.work_ms), silent(given.silent) {
         const auto use = [&](const char *name, const char *effect, int slo_ms) {
             return R"({"group":"all","windowMs":)" + std::to_string(given.window_ms) +
                    R"(,"importance":1,"name":")" + std::string(name) + R"(","effect":")" + effect +
@@ -82,6 +84,7 @@
         return toy_client(port).ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 200");
     }
     std::string reply() {
+        std::this_thread::sleep_for(work);
         const std::lock_guard hold(lock);
         const std::size_t at = next++;
         return at < replies.size() ? replies[at] : ok("value");
@@ -106,6 +109,7 @@
 
     std::mutex lock;
     std::vector<std::string> replies;
+    std::chrono::milliseconds work;
     std::size_t next = 0;
     std::atomic<bool> silent, leaving = false; // discovery; the first server, in whole lists
     std::ostringstream lines;
