--- /dev/null
+++ b/tests/planned_stop_test.cpp
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+// Planned stops: SIGTERM, then SIGKILL at the earliest moment that the deployment allows, which is the
+// longest deadline of its settings (3 s at most) and 0.7 s after the signal. Clients go on using the
+// connections that stay open until then. See docs/incidents/planned-stop.md.
+#include "stand.hpp"
+
+#include "net/threads.hpp"
+
+#include <random>
+
+namespace harrierpass::proxy {
+namespace {
+
+constexpr double kill_delay = 0.7;    // s beside the longest deadline
+constexpr int clients_at_once = 12;   // few enough for two servers' limits
+constexpr double longest_pause = 0.2; // s between two requests of one client
+constexpr const char *field = "X-Request-Id: ";
+
+// A client that asks, waits for the answer and pauses, on one connection for as long as that stays open.
+struct steady_client {
+    steady_client(int port, int number) : connection(port), name(std::to_string(number)), pauses(number) {}
+
+    void run(const std::function<bool()> &over) {
+        std::uniform_real_distribution<double> pause(0, longest_pause);
+        for (int count = 0; !over(); ++count) {
+            std::this_thread::sleep_for(std::chrono::duration<double>(pause(pauses)));
+            const std::string key = name + "x" + std::to_string(count);
+            const std::string answer = connection.ask(asks("read", key, "128m"));
+            if (answer.empty()) {
+                unanswered = "9b" + key;
+                return;
+            }
+            ++answered;
+            if (answer.find("\r\nConnection: close\r\n") != std::string::npos)
+                return;
+        }
+    }
+
+    toy_client connection;
+    std::string name;
+    std::minstd_rand pauses;
+    int answered = 0;
+    std::string unanswered; // the id of a request whose connection ended without an answer
+};
+
+// How many requests the process had read, as a server saw them, and never answered.
+int lost_at_earliest_kill(int longest_deadline_ms) {
+    stand with({.statement_ms = longest_deadline_ms, .starts = false, .work_ms = 60});
+    running process(with, "planned-stop-" + std::to_string(longest_deadline_ms) + ".json");
+    std::list<steady_client> clients;
+    std::list<std::thread> threads;
+    std::atomic<bool> over = false;
+    for (int i = 0; i < clients_at_once; ++i) {
+        auto &client = clients.emplace_back(process.port, i + 1);
+        threads.emplace_back([&] { client.run([&] { return over.load(); }); });
+    }
+    with.servers[0].wait_for_any(with.servers[1], 4 * clients_at_once);
+    process.proxy.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::duration<double>(longest_deadline_ms * 1e-3 + kill_delay));
+    process.proxy.signal(SIGKILL);
+    over = true;
+    for (auto &each : threads)
+        each.join();
+    int lost = 0;
+    for (const auto &each : clients) {
+        CHECK(each.answered > 0);
+        const std::string id = field + each.unanswered;
+        lost += !each.unanswered.empty() && (with.servers[0].saw(id) || with.servers[1].saw(id));
+    }
+    CHECK(process.proxy.status() == 0); // it had ended by itself
+    return lost;
+}
+
+} // namespace
+
+// Guards "no request is lost" where all deadlines are short: what is read during a stop is answered before
+// the earliest kill, whatever the longest deadline is.
+TEST_CASE("planned stop: a kill at the earliest finds no request unanswered") {
+    for (const int longest_deadline_ms : {150, 270, 345, 1000})
+        for (int round = 0; round < 3; ++round) {
+            CAPTURE(longest_deadline_ms);
+            CHECK(lost_at_earliest_kill(longest_deadline_ms) == 0);
+        }
+}
+
+} // namespace harrierpass::proxy
