Planned stop: its schedule follows the earliest kill, whatever the deadlines are

Cause: the longest deadline was taken for one second at least, grace and rest were constants (0.7 s and 0.25 s). With deadlines of 0.27 s requests were read until 0.95 s and answered until 1.3 s after SIGTERM, while the kill may come at 0.97 s. Class: a fixed time where the deployment's own figure binds. Change: src/proxy/stop_schedule, without I/O, derives every bound of a stop from the earliest kill; set once at the signal, by the shorter of the settings in force and those that wait for their list; resting connections wait for the close by themselves; half a request and one that comes too late are refused with a time to come back; long answers and lingering end with the stop.

--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -356,7 +356,10 @@
     }
     if (next && on_adopted)
         on_adopted(*next);
-    next = nullptr;
+    if (std::exchange(next, nullptr)) {
+        const std::lock_guard hold(lock_);
+        waiting_ = nullptr;
+    }
     say_state(before);
     return true;
 }
@@ -384,6 +387,11 @@
     moved_.store(true);
 }
 
+std::shared_ptr<const configuration> catalog::next() {
+    const std::lock_guard hold(lock_);
+    return next_ ? next_ : waiting_;
+}
+
 void catalog::run(const std::function<bool()> &over) {
     std::shared_ptr<const configuration> next; // waits for its list
     const auto cut = [&] { return over() || moved_.load(); };
@@ -400,7 +408,7 @@
             end_connection("moved");
             {
                 const std::lock_guard hold(lock_);
-                next = given_ = std::exchange(next_, nullptr);
+                next = given_ = waiting_ = std::exchange(next_, nullptr);
             }
             where_ = parse_address(given_->discovery);
             spare_.close(); // it may be of another family of addresses
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -48,6 +48,8 @@
     // Another configuration: its discovery is asked for the whole list, by whose coming both take force in
     // one step; until then list and configuration stand. The follower's thread is to be called after this.
     void move_to(std::shared_ptr<const configuration> next);
+    // The configuration that is to come into force with its first list; null: none.
+    std::shared_ptr<const configuration> next();
     std::function<void(const configuration &)> on_adopted; // called by the follower's thread
     void run(const std::function<bool()> &over);           // the thread's
     // Discovery has answered, or has not in time; where one serves all proxies: there is a list.
@@ -77,8 +79,9 @@
     upstream &upstream_;
     counters &counters_;
     log &log_;
-    std::mutex lock_;                            // of next_
-    std::shared_ptr<const configuration> next_;  // to be adopted; null: none
+    std::mutex lock_;                                   // of the next two
+    std::shared_ptr<const configuration> next_;         // to be adopted; null: none
+    std::shared_ptr<const configuration> waiting_ = {}; // the one that waits for its list; null: none
     std::shared_ptr<const configuration> given_; // by which lists are read now; the follower's thread's own
     std::optional<address> where_;
     tcp_socket socket_; // to discovery
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -20,13 +20,12 @@
     2.2; // s at rest after one query where room is short; some ask once and never close
 constexpr double roomy_share = 0.5; // of the most connections; up to it there is room
 constexpr double rest_limit = 30;   // s at rest after more; its client may be gone without a word
-constexpr double drain_idle = 0.25; // s that an idle connection stays open in a planned end
 
 } // namespace
 
 void listener::run() {
     double tidied = 0;
-    bool told = false; // the connections, that they are to close
+    bool told_stop = false, told_close = false; // the connections at rest
     for (;;) {
         const bool takes = !succeeded();
         pollfd in{takes ? socket_.get() : -1, POLLIN, 0};
@@ -38,11 +37,13 @@
             tidied = now;
             with_.servers.end_stale(now);
         }
-        const bool closing = with_.closing();
-        if (closing && !told)
-            wake_all(); // so that they see it
-        told = closing;
-        if (with_.ending() && connections() == 0)
+        // Told of the stop as well as of the close: from the first on each waits for the second by itself.
+        const bool stop = with_.draining(), close = with_.closing();
+        if ((stop && !told_stop) || (close && !told_close))
+            wake_all();
+        told_stop = stop;
+        told_close = close;
+        if (with_.ending() && with_.decides.now() >= with_.accept_until && connections() == 0)
             break;
     }
     // Whoever connected since the last look is served still, also while the last ones end.
@@ -150,7 +151,7 @@
         const double rested = with_.decides.now() - since;
         if (me.to_end)
             reason = "reclaimed";
-        else if (closing && rested >= drain_idle)
+        else if (closing && rested >= with_.idle_before_close())
             reason = "draining";
         else if (rested >= limit)
             reason = from.queries == 0 ? "silent" : "idle";
@@ -160,7 +161,10 @@
             reason = "idle";
         pollfd in{from.socket.get(), POLLIN, 0};
         // Cut short, as a call that tells it to end may be lost.
-        wait_on({&in, 1}, reason != nullptr ? 0 : std::min(look_period, limit - rested));
+        const double until_close = with_.draining() ? std::max(with_.close_at - with_.decides.now(),
+                                                               with_.idle_before_close() - rested)
+                                                    : look_period;
+        wait_on({&in, 1}, reason != nullptr ? 0 : std::min({look_period, until_close, limit - rested}));
         // Guards "no query is lost": whatever the cause to end, bytes are looked for after it and once more.
         there = peek(from.socket);
     }
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -27,6 +27,7 @@
 constexpr double source_pause = 15;       // s that a server may pause in a long answer; it may swap
 constexpr double sink_pause = 30;         // s that a side may take for a window of a long body
 constexpr double answer_margin = 0.05;    // s before the client's end in which no dial goes on
+constexpr double stop_look = 0.05;  // s between looks whether a stop leaves no time for the rest of a request
 constexpr double own_margin = 0.01; // s after the client's end; the router gives its final answer before
 constexpr double stall_share =
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
@@ -63,6 +64,7 @@
     const char *read(http_reader &asked);
     const char *refuse_text(int status, const char *reason);
     const char *refuse(int status, string_view fields, string_view why);
+    const char *refuse_stopping();
     bool left_unsent();
     execution_end execute(const orders &now, http_reader &asked, http_reader &answer);
     execution_end upload(const tcp_socket &to, http_reader &asked);
@@ -95,7 +97,7 @@
         return keeps_ && !from_.last && !with_.ending() && !with_.away() && !with_.handed_over &&
                (!uploads_ || body_came_);
     }
-    double stop_by() const { return with_.drain_at.load() + with_.last_answer; }
+    double stop_by() const { return with_.answer_by.load(); }
     double patience() const { return std::min(statement_end_, stop_by()); }
 
     engine &with_;
@@ -174,6 +176,8 @@
         keeps_ = false;
         return done(final_answer(verdict::deferred, 503, come_back_in(given_->decisions.allow.max_advice)));
     }
+    if (came >= stop_by())
+        return done(refuse_stopping());
     const auto bounded = [&] {
         patience_ = wanted.patience;
         wanted.made.uploading = uploads_;
@@ -292,6 +296,9 @@
     auto state = asked.look();
     bool expects = true;
     while (state == http_reader::state::more) {
+        // Guards the request of a client that writes slowly: the stop ends before its last byte may come.
+        if (with_.decides.now() >= stop_by())
+            return refuse_stopping();
         if (expects && asked.has_head() && same_name(asked.head().value("Expect"), "100-continue")) {
             expects = false;
             write_all(from_.socket, "HTTP/1.1 100 Continue\r\n\r\n", {}, write_limit);
@@ -313,7 +320,7 @@
         const double left = end - with_.decides.now();
         if (left <= 0)
             return refuse_text(408, "client_slow");
-        wait_on({&in, 1}, left);
+        wait_on({&in, 1}, std::min(stop_look, left));
     }
     uploads_ = state == http_reader::state::full;
     if (state == http_reader::state::whole || uploads_)
@@ -329,6 +336,15 @@
     return reason;
 }
 
+// For a request that the stop leaves no time for; nothing of it was sent anywhere.
+const char *life::refuse_stopping() {
+    with_.count.add(count::rejected);
+    refused_for_ = "stopping";
+    keeps_ = false;
+    final_answer(verdict::deferred, 503, come_back_in(with_.decides.given()->decisions.allow.max_advice));
+    return "draining";
+}
+
 // For what can be read and is no query: the connection may go on, if it does not bring many of them.
 const char *life::refuse(int status, string_view fields, string_view why) {
     with_.count.add(count::bad_requests);
@@ -536,8 +552,9 @@
                                          keeps_);
     const auto end = write_all(from_.socket, head, {}, sink_pause)
                          ? relay_body(
-                               answer, from, from_.socket, how, {.source = source_pause, .sink = sink_pause},
-                               [&] { return desk.now(); }, [] { return false; })
+                               answer, from, from_.socket, how,
+                               {.source = source_pause, .sink = sink_pause, .until = stop_by()},
+                               [&] { return desk.now(); }, [&] { return desk.now() >= stop_by(); })
                          : relay_end::sink_broke;
     if (end == relay_end::whole) {
         id_ = {};
@@ -554,6 +571,8 @@
         from_.socket.close();
         return {outcome::completed, "client_left", false, true};
     }
+    if (end == relay_end::called) // the server did what it should; the stop leaves no time for the rest
+        return {outcome::completed, "draining", false, true};
     return {outcome::reset, end == relay_end::source_slow ? "stalled" : "reset", false, true};
 }
 
@@ -588,8 +607,10 @@
         why = request.run();
         request.log_end(why);
     } // its buffer is free while the connection lingers
+    // Guards the last answers of a stop: the process has to be gone, by itself, before it may be killed.
+    const double until_stop = std::max(0.0, with.answer_by + last_linger.limit - with.decides.now());
     if (why != nullptr && from.lingers.most > 0)
-        release(from.socket, from.lingers.limit, from.lingers.most);
+        release(from.socket, std::min(from.lingers.limit, until_stop), from.lingers.most);
     return why;
 }
 
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -27,11 +27,15 @@
     figures &shown;
     std::function<bool()> ready;
     open_ids ids = {};
-    std::atomic<double> drain_at = forever * 10; // Unix time, s, when the planned end began
-    std::atomic<double> close_at = forever * 10; // likewise, from when on clients' connections close
-    std::atomic<double> last_answer = 3.2;       // s after drain_at by which all is answered
+    // A planned stop, by its schedule; Unix times, s. They are set once, so that settings which come into
+    // force later move nothing.
+    std::atomic<double> drain_at = never;     // it began
+    std::atomic<double> close_at = never;     // clients' connections close
+    std::atomic<double> accept_until = never; // new ones are accepted at least until then
+    std::atomic<double> answer_by = never;    // all is answered
+    std::atomic<double> least_idle = 0;       // s at rest after which a connection closes
 
-    std::atomic<double> away_at = forever * 10; // likewise, from when on operators send clients away
+    std::atomic<double> away_at = never; // from when on operators send clients away
 
     std::atomic<bool> handed_over = false; // another process takes the clients; this one ends
 
@@ -46,7 +50,10 @@
     bool away() const { return decides.now() >= away_at.load(); }
     // Connections at rest end, too. Sent away, that is once the front has stopped sending new ones.
     bool closing() const { return ending() || decides.now() >= away_at.load() + away_pause; }
-    static constexpr double away_pause = 1; // s; the front asks every 0.1 s and goes on for 0.2 s
+    // s at rest after which a connection closes, once they do.
+    double idle_before_close() const { return draining() ? least_idle.load() : away_idle; }
+    static constexpr double away_idle = 0.25; // s; a connection used since may have a request on its way
+    static constexpr double away_pause = 1;   // s; the front asks every 0.1 s and goes on for 0.2 s
 };
 
 // For how long, and over how many bytes, a client's connection is released.
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -25,11 +25,7 @@
 constexpr std::size_t refused_room = 32; // the listener's connections beyond its most
 constexpr double own_memory_mb = 8;      // code, router, list, log; 2 to 3 were seen
 constexpr double client_memory_mb = 0.2; // two buffers and a stack in use; at rest some 0.03
-constexpr double most_wait = 3;          // s; the platform waits no longer for the last answers ...
-constexpr double end_margin = 0.3;       // s; ... and somewhat more than this
-constexpr double least_grace = 0.7;      // s; new connections come for 0.4 s after the signal
 constexpr double short_wait = 0.005;     // s between looks whether the list is there
-constexpr double grace_share = 0.5;      // of the time until the last answers; the rest is for those
 
 // Descriptors, but for some without which nothing goes on.
 std::size_t left_of(std::size_t all, std::size_t taken) {
@@ -52,13 +48,6 @@
         std::min(std::max(8.0, by_memory), static_cast<double>(sockets) * client_share));
 }
 
-double longest_statement(const configuration &given) {
-    double longest = 1;
-    for (const double each : given.statement_timeouts)
-        longest = std::max(longest, each);
-    return longest;
-}
-
 } // namespace
 
 service::service(configuration given, std::ostream &log_to, level least, router_maker decides)
@@ -68,12 +57,10 @@
       catalog_(desk_, upstream_, counters_, log_), prober_(desk_, upstream_, buffers_, counters_),
       engine_{desk_, upstream_, buffers_, counters_, log_, figures_, [this] { return catalog_.ready(); }} {
     mallopt(M_ARENA_MAX, 2); // guards the memory limit: an arena for each thread would hold on to much
-    engine_.last_answer = std::min(longest_statement(given_), most_wait) + end_margin;
     desk_.on_probe = [this](index server) { prober_.start(server); };
     desk_.on_subscribe = [this] { catalog_.ask(); };
     catalog_.on_adopted = [this](const configuration &now) {
         upstream_.use_limits(now.dial_limit, now.idle_limit);
-        engine_.last_answer = std::min(longest_statement(now), most_wait) + end_margin;
         figures_.name(now.use_cases);
         counters_.add(count::adopted);
         log_.info("adopted discovery=", now.discovery, " use-cases=", now.use_cases.size(),
@@ -250,14 +237,33 @@
                         static_cast<std::size_t>(given_.sockets * tight_share));
 }
 
+// By the settings in force, and by those of a reload that waits for its list: which of them the platform goes
+// by when it kills can't be known here, so the earlier kill counts.
+stop_schedule service::schedule() {
+    double longest = longest_deadline(desk_.given()->statement_timeouts);
+    if (const auto next = catalog_.next())
+        longest = std::min(longest, longest_deadline(next->statement_timeouts));
+    return stop_schedule_for(longest);
+}
+
+void service::end() {
+    end(schedule().close_idle);
+}
+
 void service::end(double grace) {
     if (!acceptor_)
         return;
+    const stop_schedule stop = schedule();
     engine_.handed_over = handover_ && handover_->succeeded();
-    log_.info("draining grace=", grace, " last-answer=", engine_.last_answer.load(),
-              " connections=", listener_->connections(), " handed-over=", engine_.handed_over.load());
-    engine_.close_at = desk_.now() + grace;
-    engine_.drain_at = desk_.now();
+    log_.info("draining grace=", grace, " last-answer=", stop.last_answer,
+              " earliest-kill=", stop.earliest_kill, " connections=", listener_->connections(),
+              " handed-over=", engine_.handed_over.load());
+    const double now = desk_.now();
+    engine_.least_idle = stop.least_idle;
+    engine_.answer_by = now + std::max(grace, stop.last_answer);
+    engine_.accept_until = now + std::min(grace, stop.accept_until);
+    engine_.close_at = now + grace;
+    engine_.drain_at = now;
     call(acceptor_->id());
     acceptor_.reset(); // returns when all is answered
     over_ = true;
@@ -266,13 +272,7 @@
     timer_.reset();
     door_.reset();
     handover_.reset();
-    log_.info("ended");
-}
-
-// Guards clients against a time in which nobody serves them: they go on using the connections that they have,
-// and the next proxy may not be known to the front yet.
-double service::usual_grace() const {
-    return std::max(least_grace, engine_.last_answer * grace_share);
+    log_.info("ended stopping-for=", engine_.stopping_for(), " earliest-kill=", stop.earliest_kill);
 }
 
 void service::reload(const configuration &next) {
--- a/src/proxy/service.hpp
+++ b/src/proxy/service.hpp
@@ -7,6 +7,7 @@
 #include "proxy/handover.hpp"
 #include "proxy/listener.hpp"
 #include "proxy/probe.hpp"
+#include "proxy/stop_schedule.hpp"
 
 namespace harrierpass::proxy {
 
@@ -17,9 +18,11 @@
             router_maker decides = subsets::make_chooser);
     ~service(); // a planned end without its grace, if none was asked for before
 
-    // A planned end: serves as before until the grace is over, then answers what is left, and returns.
+    // A planned stop by the schedule of the deployment (stop_schedule.hpp): serves as before, then closes
+    // what is at rest, answers what is left, and returns. `grace`: s until connections close, in place of the
+    // schedule's.
+    void end();
     void end(double grace);
-    void end() { end(usual_grace()); }
 
     // Takes from a new configuration what may change under load: where discovery is. Throws bad_text, and
     // then all is as before.
@@ -33,7 +36,7 @@
 
 private:
     bool over() const { return over_.load(); }
-    double usual_grace() const;
+    stop_schedule schedule();
     void open_door();
     tcp_socket take_over(const address &where);
     void link_up();
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -43,10 +43,11 @@
     std::string unanswered; // the id of a request whose connection ended without an answer
 };
 
-// How many requests the process had read, as a server saw them, and never answered.
-int lost_at_earliest_kill(int longest_deadline_ms) {
-    stand with({.statement_ms = longest_deadline_ms, .starts = false, .work_ms = 60});
-    running process(with, "planned-stop-" + std::to_string(longest_deadline_ms) + ".json");
+// How many requests the process had read, as a server saw them, and never answered. `before_stop`: what
+// happens to the process just before the signal.
+int lost_at_earliest_kill(
+    int longest_deadline_ms, stand &with, running &process,
+    const std::function<void()> &before_stop = [] {}) {
     std::list<steady_client> clients;
     std::list<std::thread> threads;
     std::atomic<bool> over = false;
@@ -55,6 +56,7 @@
         threads.emplace_back([&] { client.run([&] { return over.load(); }); });
     }
     with.servers[0].wait_for_any(with.servers[1], 4 * clients_at_once);
+    before_stop();
     process.proxy.signal(SIGTERM);
     std::this_thread::sleep_for(std::chrono::duration<double>(longest_deadline_ms * 1e-3 + kill_delay));
     process.proxy.signal(SIGKILL);
@@ -79,8 +81,59 @@
     for (const int longest_deadline_ms : {150, 270, 345, 1000})
         for (int round = 0; round < 3; ++round) {
             CAPTURE(longest_deadline_ms);
-            CHECK(lost_at_earliest_kill(longest_deadline_ms) == 0);
+            stand with({.statement_ms = longest_deadline_ms, .starts = false, .work_ms = 60});
+            running process(with, "planned-stop.json");
+            CHECK(lost_at_earliest_kill(longest_deadline_ms, with, process) == 0);
         }
 }
 
+// Guards a stop that follows a reload: settings with shorter deadlines wait for their list when the signal
+// comes.
+TEST_CASE("planned stop: shorter deadlines wait for their list") {
+    constexpr int shorter_ms = 150;
+    stand with({.statement_ms = 1000, .starts = false, .work_ms = 60});
+    running process(with, "planned-stop-reload.json");
+    const auto reload = [&] {
+        with.silent = true;
+        std::string text = with.config;
+        for (std::size_t at; (at = text.find("\"statementTimeoutMs\":1000")) != text.npos;)
+            text.replace(at, 25, "\"statementTimeoutMs\":" + std::to_string(shorter_ms));
+        process.reload(text);
+        process.proxy.wait_for("reloaded ");
+    };
+    CHECK(lost_at_earliest_kill(shorter_ms, with, process, reload) == 0);
+}
+
+// Guards a client that writes slowly: its request is not whole when the stop leaves no more time for it.
+TEST_CASE("planned stop: half a request is refused before the kill") {
+    stand with({.statement_ms = 150, .starts = false});
+    running process(with, "planned-stop-half.json");
+    toy_client client(process.port);
+    const std::string whole = asks("book", "1", "100m");
+    client.send(whole.substr(0, whole.size() - 2));
+    process.proxy.signal(SIGTERM);
+    CHECK(client.read().starts_with("HTTP/1.1 503"));
+    CHECK(client.ended());
+    CHECK(process.proxy.status() == 0);
+    CHECK(with.executions() == 0);
+}
+
+// The order of a stop's moments, and the margins between them, for every longest deadline.
+TEST_CASE("planned stop: the schedule follows the earliest kill") {
+    constexpr double front = 0.4;    // s for which the front deals out new connections
+    constexpr double hold_up = 0.15; // s for which a process may be held up
+    for (const double longest : {0.0, 0.01, 0.1, 0.27, 0.345, 0.5, 0.9, 1.0, 1.5, 2.0, 3.0, 5.0, 60.0}) {
+        CAPTURE(longest);
+        const stop_schedule stop = stop_schedule_for(longest);
+        CHECK(stop.earliest_kill == doctest::Approx(std::min(longest, 3.0) + kill_delay));
+        CHECK(stop.last_answer <= stop.earliest_kill - hold_up);
+        CHECK(stop.accept_until > front);
+        CHECK(stop.accept_until <= stop.earliest_kill - hold_up);
+        CHECK(stop.close_idle > 0);
+        CHECK(stop.close_idle + stop.least_idle < stop.last_answer);
+    }
+    CHECK(longest_deadline(std::vector{0.2, 0.345, 0.1}) == 0.345);
+    CHECK(longest_deadline({}) == 0);
+}
+
 } // namespace harrierpass::proxy
