One guard for sending, repeating, answering and closing; our own shortages are no server's

Change: src/proxy/request_guard, asked where an attempt is written, an answer begun and a request's life ends; a breach is refused, logged with its name and id, and counted (invariants_violated). A failure half way (no memory) answers what is owed; a connection for which there is no thread gets a 503; a call that was interrupted or found no buffer is made again; a dial that failed for want of a port, buffer, descriptor or route is told against no server.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -37,6 +37,7 @@
     "snapshots_written",
     "snapshots_failed",
     "configurations_adopted",
+    "invariants_violated",
     "clients_accepted",
     "clients_ended",
     "server_dials",
--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -40,6 +40,7 @@
     snapshots_written,
     snapshots_failed,
     adopted,
+    invariants_violated,
     clients_accepted,
     clients_ended,
     server_dials,
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -16,13 +16,34 @@
 namespace harrierpass {
 namespace {
 
-constexpr int backlog = 1024; // connections; a burst that all its clients open at once
+constexpr double buffer_pause = 0.002; // s until a write is tried again for want of the system's memory
+constexpr int backlog = 1024;          // connections; a burst that all its clients open at once
 
 void set_flag(int fd, int level, int name) {
     const int on = 1;
     setsockopt(fd, level, name, &on, sizeof on);
 }
 
+// What becomes of a connection that comes up by itself, as an error number; 0: it is up.
+int connect_result(const tcp_socket &of, double limit) {
+    pollfd up{of.get(), POLLOUT, 0};
+    const double end = steady_now() + limit;
+    do {
+        const double left = end - steady_now();
+        if (left <= 0)
+            return ETIMEDOUT;
+        wait_on({&up, 1}, left);
+    } while (up.revents == 0);
+    int error = 0;
+    socklen_t size = sizeof error;
+    return ::getsockopt(of.get(), SOL_SOCKET, SO_ERROR, &error, &size) == 0 ? error : errno;
+}
+
+// A call that may succeed when it is made again shortly: interrupted, or no room in the system's buffers.
+bool may_pass(int error) {
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR || error == ENOBUFS || error == ENOMEM;
+}
+
 } // namespace
 
 void tcp_socket::close() {
@@ -59,6 +80,24 @@
     return std::string(host) + ":" + port;
 }
 
+bool is_own_shortage(int error) {
+    switch (error) {
+    case EMFILE:
+    case ENFILE:
+    case ENOBUFS:
+    case ENOMEM:
+    case EADDRNOTAVAIL: // no port is free
+    case EADDRINUSE:
+    case ENETUNREACH: // no route from here
+    case ENETDOWN:
+    case EPERM: // a rule of this machine's
+    case EACCES:
+        return true;
+    default:
+        return false;
+    }
+}
+
 tcp_socket socket_for(const address &to) {
     return tcp_socket(::socket(to.where.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0));
 }
@@ -72,11 +111,13 @@
     most.tv_sec = static_cast<time_t>(limit);
     most.tv_usec = std::max<suseconds_t>(1000, static_cast<suseconds_t>((limit - most.tv_sec) * 1e6));
     setsockopt(made.get(), SOL_SOCKET, SO_SNDTIMEO, &most, sizeof most); // binds connect() too
-    if (::connect(made.get(), reinterpret_cast<const sockaddr *>(&to.where), to.size) != 0) {
-        const int why = errno;
+    if (::connect(made.get(), reinterpret_cast<const sockaddr *>(&to.where), to.size) == 0)
+        return made;
+    // Interrupted, it goes on by itself (connect(2)), and what comes of it is told by the socket.
+    const int why = errno == EINTR ? connect_result(made, limit) : errno;
+    if (why != 0)
         made.close();
-        errno = why;
-    }
+    errno = why;
     return made;
 }
 
@@ -122,7 +163,7 @@
     message.msg_iovlen = 2;
     const auto wrote = ::sendmsg(to.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
     if (wrote < 0)
-        return errno == EAGAIN || errno == EWOULDBLOCK ? 0 : -1;
+        return may_pass(errno) ? 0 : -1;
     const auto of_head = std::min(static_cast<std::size_t>(wrote), head.size());
     head.remove_prefix(of_head);
     body.remove_prefix(static_cast<std::size_t>(wrote) - of_head);
@@ -138,7 +179,11 @@
             const double left = end - steady_now();
             if (left <= 0)
                 return false;
-            wait_on({&room, 1}, left);
+            const bool no_buffer = errno == ENOBUFS || errno == ENOMEM;
+            if (no_buffer) // the socket itself has room, so that it would not wait
+                wait_on({}, std::min(buffer_pause, left));
+            else
+                wait_on({&room, 1}, left);
             continue;
         }
         if (wrote < 0)
@@ -149,7 +194,7 @@
 
 long read_some(const tcp_socket &from, char *to, std::size_t size) {
     const auto got = ::recv(from.get(), to, size, MSG_DONTWAIT);
-    return got >= 0 ? got : errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? -2 : -1;
+    return got >= 0 ? got : may_pass(errno) ? -2 : -1;
 }
 
 void release(tcp_socket &connection, double limit, std::size_t most) {
@@ -176,10 +221,10 @@
 waiting peek(const tcp_socket &from) {
     char byte;
     const auto got = ::recv(from.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got > 0                                   ? waiting::bytes
-           : got == 0                                ? waiting::close
-           : errno == EAGAIN || errno == EWOULDBLOCK ? waiting::nothing
-                                                     : waiting::reset;
+    return got > 0           ? waiting::bytes
+           : got == 0        ? waiting::close
+           : may_pass(errno) ? waiting::nothing
+                             : waiting::reset;
 }
 
 } // namespace harrierpass
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -37,6 +37,10 @@
 std::optional<address> parse_address(std::string_view text);
 std::string to_text(const address &from);
 
+// Whether a call failed for want of something on this machine (descriptor, buffer, memory, port, route): it
+// says nothing of the other side.
+bool is_own_shortage(int error);
+
 // A socket for dial(), made beforehand: a descriptor that nobody else can take. Empty: errno tells why.
 tcp_socket socket_for(const address &to);
 // Empty: errno tells why. A connection that is not up within the limit never came up. `by`: see above.
--- a/src/proxy/listener.cpp
+++ b/src/proxy/listener.cpp
@@ -18,6 +18,8 @@
 constexpr double silent_limit = 2.1;   // s without a first query; no client waits so long with one
 constexpr double once_limit =
     2.2; // s at rest after one query where room is short; some ask once and never close
+constexpr std::string_view no_thread_answer =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 constexpr double roomy_share = 0.5; // of the most connections; up to it there is room
 constexpr double rest_limit = 30;   // s at rest after more; its client may be gone without a word
 
@@ -70,13 +72,14 @@
     client from;
     from.socket = accept_on(socket_, peer);
     if (!from.socket) {
-        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-            with_.lines.warning("accept-failed error=", std::strerror(errno));
-            if (!end_one_idle())
-                with_.servers.end_oldest(with_.decides.now());
-            wait_on({}, short_pause);
-        }
-        return errno == ECONNABORTED;
+        const int why = errno;
+        if (why == EAGAIN || why == EWOULDBLOCK || why == ECONNABORTED || why == EINTR)
+            return why != EAGAIN && why != EWOULDBLOCK;
+        with_.lines.warning("accept-failed error=", std::strerror(why));
+        if (is_own_shortage(why) && !end_one_idle())
+            with_.servers.end_oldest(with_.decides.now());
+        wait_on({}, short_pause);
+        return false;
     }
     with_.count.add(count::clients_accepted);
     with_.servers.leave_to_clients(connections() + 1, with_.decides.now());
@@ -93,10 +96,15 @@
         const auto shared = std::make_shared<client>(std::move(from));
         if (start_detached([this, me, shared, at = to_text(peer)] { serve(*me, std::move(*shared), at); }))
             return true;
+        // Guards a client that has written its request: it is told to come back, not cut off.
+        std::string_view answer = no_thread_answer, nothing;
+        write_some(shared->socket, answer, nothing);
+        release(shared->socket, short_pause, buffer_size);
     } catch (const std::bad_alloc &) { // ends as for want of a thread
     }
     with_.lines.warning("connection-end side=client peer=", to_text(peer),
                         " queries=0 open=0 reason=no_thread");
+    end_one_idle(); // whose thread is free then
     with_.count.add(count::clients_ended);
     const std::lock_guard hold(lock_);
     entries_.remove_if([&](const entry &each) { return &each == me; });
--- a/src/proxy/open_ids.hpp
+++ b/src/proxy/open_ids.hpp
@@ -40,6 +40,10 @@
         const std::lock_guard hold(lock_);
         return ids_.insert(id).second ? holder(*this, std::move(id)) : holder();
     }
+    std::size_t size() {
+        const std::lock_guard hold(lock_);
+        return ids_.size();
+    }
 
 private:
     std::mutex lock_;
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -35,6 +35,11 @@
 constexpr linger_terms last_linger = {0.2, 512UL * 1024};
 // A client may read why its long body was turned off.
 constexpr linger_terms upload_linger = {2, longest_body};
+// Answers to a request that a failure of our own ends; whole texts, as there may be no memory.
+constexpr string_view failed_unsent =
+    "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+constexpr string_view failed_sent =
+    "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 constexpr index most_refused = 16;     // on a connection; then it ends, as its client does not learn
 constexpr double refuse_pause = 0.005; // s before what follows is read; guards the CPU against the same again
 
@@ -44,11 +49,12 @@
     const char *reason = nullptr; // why its connection ended; null: it is kept
     bool given_up = false;        // the query had its final answer before
     bool passed_on = false;       // the answer, or its beginning, is the client's already
+    bool cut = false;             // ... and its rest is missing, by no fault of the server's
 };
 
 class life {
 public:
-    life(engine &with, client &from) : with_(with), from_(from) {}
+    life(engine &with, client &from) : with_(with), from_(from), guard_(with.invariants) {}
     // Guards "no query is lost" and the router's count against a failure half way, as for want of memory.
     ~life() {
         if (arrived_)
@@ -56,6 +62,9 @@
     }
 
     const char *run();
+    // After a failure of our own half way: the answer that is owed, without any memory. Why the connection
+    // ends.
+    const char *fail(const char *reason);
     // One line for the request: what it was answered, after how many attempts, and what became of its
     // connection.
     void log_end(const char *connection_reason) const;
@@ -100,8 +109,17 @@
     double stop_by() const { return with_.answer_by.load(); }
     double patience() const { return std::min(statement_end_, stop_by()); }
 
+    // The client has closed its connection: nothing is owed to it, and nothing more is sent for it.
+    void client_left() {
+        from_.socket.close();
+        guard_.client_left();
+        with_.count.add(count::left);
+        with_.decides.left(ticket_);
+    }
+
     engine &with_;
     client &from_;
+    request_guard guard_;
     ticket ticket_;
     std::shared_ptr<const configuration> given_; // by which the query was understood
     open_ids::holder id_;
@@ -160,6 +178,11 @@
         return done(refuse(400, {}, wanted.fault));
     const double came = read_at_ = desk.now();
     request_id_ = asked.head().value("X-Request-Id");
+    const auto guard_by = [&] {
+        guard_.read(request_id_, given_->decisions.use_cases[wanted.made.use_case],
+                    came + wanted.patience + (uploads_ ? upload_limit : 0));
+    };
+    guard_by();
     if (!uploads_)
         take_count();
     use_case_ = given_->use_cases[wanted.made.use_case];
@@ -193,6 +216,7 @@
         wanted = understand(asked.head(), *given_);
         if (wanted.fault != nullptr)
             return done(refuse(400, {}, wanted.fault));
+        guard_by();
     }
     arrived_ = true;
     for (bool gone = false;;) {
@@ -221,8 +245,7 @@
         if (now.what == orders::kind::hold) {
             pollfd in{from_.socket.get(), POLLRDHUP, 0};
             if (wait_on({&in, 1}, std::min(call_lost, patience() + own_margin - desk.now())) > 0) {
-                desk.left(ticket_);
-                count.add(count::left);
+                client_left();
                 return "client_left";
             }
             continue;
@@ -238,7 +261,7 @@
         const auto &head = answered.head();
         if (end.passed_on) { // the client has it, or its beginning, and what is missing shows
             desk.dropped(ticket_, end.result);
-            const bool whole = end.result == outcome::completed;
+            const bool whole = end.result == outcome::completed && !end.cut;
             count_end(whole ? verdict::answered : verdict::errored);
             count.add(whole ? count::completed : count::aborted);
             return done(!whole || !from_.socket ? "answer_cut" : keeps_ ? nullptr : answered_last());
@@ -252,6 +275,17 @@
         gone = gone || !from_.socket;
         if (gone && desk.finished(ticket_))
             return "client_left";
+        if (guard_.refused()) { // the router wanted what must not be: the request ends here
+            let_go();
+            if (gone)
+                return "client_left";
+            const bool harmless = !guard_.may_have_run();
+            count.add(harmless ? count::rejected : count::aborted);
+            refused_for_ = "invariant";
+            return done(harmless ? final_answer(verdict::deferred, 503,
+                                                come_back_in(given_->decisions.allow.max_advice))
+                                 : final_answer(verdict::errored, 502));
+        }
         // What is gone of a long body can't be sent again: the query ends here, harmlessly if it never ran.
         if (uploads_ && end.result != outcome::completed && asked.released() > 0) {
             let_go();
@@ -274,6 +308,17 @@
     }
 }
 
+const char *life::fail(const char *reason) {
+    if (!guard_.owes_answer() || !guard_.may_answer())
+        return reason;
+    const bool harmless = !guard_.may_have_run() && attempts_ == 0;
+    with_.count.add(harmless ? count::rejected : count::aborted);
+    status_ = harmless ? 503 : 502;
+    refused_for_ = reason;
+    write_all(from_.socket, harmless ? failed_unsent : failed_sent, {}, write_limit);
+    return reason;
+}
+
 void life::log_end(const char *connection_reason) const {
     const double now = with_.decides.now();
     const bool unanswered = read_at_ > 0 && status_ == 0;
@@ -361,9 +406,7 @@
     pollfd in{from_.socket.get(), POLLRDHUP, 0};
     if (!from_.socket || wait_on({&in, 1}, 0) <= 0)
         return false;
-    from_.socket.close();
-    with_.count.add(count::left);
-    with_.decides.left(ticket_);
+    client_left();
     return true;
 }
 
@@ -383,6 +426,8 @@
         to = with_.servers.take(now.server, desk.now(), dial_by - desk.now());
         if (!to.socket && desk.now() >= dial_by) // cut short, it says nothing of the server
             come = {outcome::ignored, "out_of_time"};
+        else if (!to.socket && to.own_shortage) // nor does a want of ours
+            come = {outcome::ignored, "own_shortage"};
         else if (!to.socket)
             come = {outcome::connect_error, "dial_failed"};
         else if (to.executions == 0 && left_unsent())
@@ -398,7 +443,8 @@
         // Guards against a decision that the dial made old: asked for again where the first byte goes out.
         const bool in_use = with_.servers.unless_out(now.server, [&] {
             by = std::min(desk.write_by(ticket_), patience());
-            begins = desk.now() < by;
+            const double written_at = desk.now();
+            begins = written_at < by && guard_.may_send(written_at, left);
             if (begins)
                 wrote = write_some(to.socket, rest, body);
         });
@@ -444,9 +490,7 @@
         if (wait_on(both, std::min(call_lost, left)) <= 0)
             continue;
         if (both[1].revents != 0) { // guards the router's count of what the server has in hand: that goes on
-            from_.socket.close();
-            with_.count.add(count::left);
-            desk.left(ticket_);
+            client_left();
         }
         if (both[0].revents == 0)
             continue;
@@ -469,6 +513,7 @@
             with_.count.add(count::ended_spoilt);
         }
     }
+    guard_.attempt_over(come.result);
     with_.count.add(kinds[static_cast<std::size_t>(come.result)]);
     if (const level how = with_.request_level(); with_.lines.writes(how))
         with_.lines.at(how, "execution-end id=", request_id_, " server=", with_.servers.id_of(now.server),
@@ -511,6 +556,7 @@
         body_came_ = true;
         take_count();
         statement_end_ = std::min(desk.now() + patience_, stop_by());
+        guard_.move_deadline(desk.now() + patience_);
         desk.written(ticket_, statement_end_);
         return {outcome::timed_out, "timed_out"};
     case relay_end::sink_spoke: // it is turned away before its end, as a rule
@@ -544,6 +590,8 @@
     const bool old_client = client_minor_ == 0;
     const auto how = answer.length() ? framing::counted : old_client ? framing::by_close : framing::chunked;
     keeps_ = may_keep() && how != framing::by_close;
+    if (!guard_.may_answer())
+        return {outcome::ignored, "invariant", false, true};
     status_ = 200;
     const std::string head = answer_head(200, passed_on(answer.head()),
                                          how == framing::counted   ? length_field(*answer.length())
@@ -572,7 +620,7 @@
         return {outcome::completed, "client_left", false, true};
     }
     if (end == relay_end::called) // the server did what it should; the stop leaves no time for the rest
-        return {outcome::completed, "draining", false, true};
+        return {outcome::completed, "draining", false, true, true};
     return {outcome::reset, end == relay_end::source_slow ? "stalled" : "reset", false, true};
 }
 
@@ -582,6 +630,8 @@
 
 const char *life::answer_framed(int status, string_view fields, string_view framing, string_view body) {
     keeps_ = may_keep();
+    if (!guard_.may_answer())
+        return "answer_cut";
     status_ = status;
     id_ = {}; // guards a client that uses it again as soon as it has the answer
     const std::string head = answer_head(status, fields, framing, keeps_);
@@ -604,7 +654,14 @@
     const char *why = nullptr;
     {
         life request(with, from);
-        why = request.run();
+        try {
+            why = request.run();
+        } catch (const std::bad_alloc &) {
+            why = request.fail("no_memory");
+        } catch (const std::exception &failed) {
+            with.lines.error("query-failed error=", failed.what());
+            why = request.fail("failed");
+        }
         request.log_end(why);
     } // its buffer is free while the connection lingers
     // Guards the last answers of a stop: the process has to be gone, by itself, before it may be killed.
--- a/src/proxy/query.hpp
+++ b/src/proxy/query.hpp
@@ -8,6 +8,7 @@
 #include "proxy/desk.hpp"
 #include "proxy/figures.hpp"
 #include "proxy/open_ids.hpp"
+#include "proxy/request_guard.hpp"
 #include "proxy/settings.hpp"
 #include "proxy/upstream.hpp"
 
@@ -27,6 +28,7 @@
     figures &shown;
     std::function<bool()> ready;
     open_ids ids = {};
+    invariant_monitor invariants{count, lines};
     // A planned stop, by its schedule; Unix times, s. They are set once, so that settings which come into
     // force later move nothing.
     std::atomic<double> drain_at = never;     // it began
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -266,6 +266,8 @@
     engine_.drain_at = now;
     call(acceptor_->id());
     acceptor_.reset(); // returns when all is answered
+    if (engine_.ids.size() > 0)
+        engine_.invariants.violated(invariant::nothing_left_at_end, "-");
     over_ = true;
     call(follower_->id());
     follower_.reset();
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -119,11 +119,12 @@
     const double limit = std::min(dial_limit_.load(), most);
     if (at)
         made.socket = dial(*at, limit);
-    if (at && !made.socket && (errno == EMFILE || errno == ENFILE) && end_oldest(now))
+    if (at && !made.socket && is_own_shortage(errno) && end_oldest(now))
         made.socket = dial(*at, limit);
     if (!made.socket) {
-        counters_.add(count::server_dials_failed);
         const int why = errno;
+        made.own_shortage = at && is_own_shortage(why);
+        counters_.add(count::server_dials_failed);
         const std::lock_guard hold(lock_);
         --open_;
         log_.debug("server-dial-failed server=", sites_[server].id,
--- a/src/proxy/upstream.hpp
+++ b/src/proxy/upstream.hpp
@@ -24,6 +24,7 @@
     double used = 0;   // when its last answer came, s
     double rested = 0; // s that it idled before its last execution
     index executions = 0;
+    bool own_shortage = false; // without a socket: for want of something on this machine
 };
 
 class upstream {
