Soak: random, overlapping faults over real processes by seed; planned stops are killed at the earliest

New: proxy_signals, load.idle, load.wait_beyond. Referee, wrong before: a server in a process that stood still reads late what came in time (as a silent link now); what a client's link held is older than its proxy can know; a second execution is judged once the first one's end had 50 ms to be seen; a client repeats a deduplicated request only inside its window; what reached a server had been read, even if its client took the end for a crossing. Each is as strict otherwise.

--- a/src/lab/judge/referee.hpp
+++ b/src/lab/judge/referee.hpp
@@ -65,6 +65,7 @@
     void restarted(index proxy, bool killed) override;
     void paused(index proxy, bool begins) override;
     void link_trouble(link_kind kind, index near, index far, bool begins) override;
+    void finish(); // nothing more comes: what was waited for is judged
 
     std::function<void(index server)> on_received; // an execution came to it
 
@@ -100,7 +101,8 @@
         index attempt, proxy, out = 0;
         double end, asked;
         bool answered = false, excused = false, gone = false; // gone: its client left before an answer
-        index out_at = none;                                  // the server that the latest one is at
+        bool untaken = false; // as far as its client can tell, no proxy has read it
+        index out_at = none;  // the server that the latest one is at
     };
     struct run_of { // one execution
         index attempt, server;
@@ -122,6 +124,13 @@
         bool now = false;
         double since = 0, until = -1e9;
     };
+    // A second execution, while the server of an earlier one has not seen that end yet.
+    struct overlap {
+        operation op;
+        index attempt, server; // of the second one
+        double when;
+    };
+    void judge_overlaps(double until);
     bool strained(link_kind kind, index near, index far, double at) const;
     record *find(operation op);
     open_try *find(record &of, index attempt);
@@ -135,6 +144,7 @@
     const double slack_;
     std::unordered_map<operation, record> records_; // nothing depends on its order
     std::deque<std::pair<double, operation>> settled_;
+    std::deque<overlap> overlaps_;                    // by time
     std::vector<std::vector<notice>> told_;           // by proxy, server
     std::vector<index> paused_;                       // by proxy: faults that hold it now
     std::vector<double> paused_since_, paused_until_; // by proxy
--- a/src/lab/processes/process.cpp
+++ b/src/lab/processes/process.cpp
@@ -161,6 +161,8 @@
         line_.append(part.data(), static_cast<std::size_t>(got));
         for (std::size_t end; (end = line_.find('\n')) != std::string::npos; line_.erase(0, end + 1)) {
             const std::string line = line_.substr(0, end);
+            if (line.find(" invariant-violated ") != std::string::npos && on_violation)
+                on_violation(line);
             if (line.starts_with("counter ") && on_counter) {
                 const auto space = line.rfind(' ');
                 on_counter(line.substr(8, space - 8), std::strtod(line.c_str() + space, nullptr));
--- a/src/lab/processes/process.hpp
+++ b/src/lab/processes/process.hpp
@@ -46,6 +46,7 @@
 
     std::function<void(const address &)> on_listening;                     // it says where
     std::function<void()> on_exit;                                         // by itself
+    std::function<void(const std::string &line)> on_violation;             // it says that an invariant broke
     std::function<void(const std::string &name, double value)> on_counter; // as it prints them on SIGUSR1
 
 private:
--- a/src/lab/program/main.cpp
+++ b/src/lab/program/main.cpp
@@ -10,6 +10,7 @@
 #include "lab/runs/deciders.hpp"
 #include "lab/runs/socket_run.hpp"
 #include "lab/runs/virtual_run.hpp"
+#include "lab/soak/soak_plan.hpp"
 
 #include "proxy/service.hpp"
 
@@ -147,6 +148,51 @@
     return proxy::run(2, words.data(), maker_of(by));
 }
 
+struct soak_command {
+    std::uint32_t first = 1, last = 1; // seeds
+    double length = 8;                 // s of load in each run
+    unsigned jobs = 1;                 // runs at a time
+    bool prints = false;               // the experiments, instead of playing them
+    socket_options sockets;
+};
+
+// Plays the experiment of each seed; one line a run, and the story of each broken rule.
+int soak(const soak_command &how) {
+    std::atomic<std::uint32_t> next = how.first;
+    std::mutex lock;
+    unsigned passed = 0, failed = 0, slow = 0;
+    const auto play = [&](std::uint32_t seed) {
+        const experiment given =
+            parse_experiment(soak_experiment(seed, how.length), "soak-" + std::to_string(seed) + ".toml");
+        socket_options on = how.sockets;
+        if (!on.logs.empty())
+            on.logs += "/" + std::to_string(seed);
+        const run_result made = run_on_sockets(given, given.variants[0], seed, on);
+        const std::lock_guard hold(lock);
+        ++(made.broken() > 0 ? failed : !made.void_because.empty() ? slow : passed);
+        print(std::cout, made, true);
+        std::cout << std::flush;
+    };
+    const auto work = [&] {
+        for (std::uint32_t seed; (seed = next++) <= how.last;)
+            try {
+                play(seed);
+            } catch (const std::exception &bad) { // one run that can't be played ends no other
+                const std::lock_guard hold(lock);
+                ++failed;
+                std::cout << "soak-" << seed << ": " << bad.what() << std::endl;
+            }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned i = 1; i < how.jobs; ++i)
+        threads.emplace_back(work);
+    work();
+    for (auto &each : threads)
+        each.join();
+    std::cout << slow << " too slow to count\n" << passed << " passed, " << failed << " failed\n";
+    return failed > 0 ? broken : slow > 0 ? too_slow : well;
+}
+
 int tell(const load_result &of) {
     std::cout << std::fixed << std::setprecision(3) << "rate " << of.rate
               << " completed queries a second; p50 " << of.run.p50 * 1e6 << " us, p90 " << of.run.p90 * 1e6
@@ -240,6 +286,16 @@
     loads->add_option("--seed", load.seed, "of the load");
     loads->add_option("--pid", load.pid, "whose CPU and memory are told");
     loads->add_option("--idle", load.idle, "connections that rest meanwhile")->check(CLI::Range(0, 20000));
+    soak_command soaks;
+    auto *const soaked =
+        app.add_subcommand("soak", "real processes under random faults that overlap, by seed");
+    soaked->add_option("--first", soaks.first, "the first seed");
+    soaked->add_option("--last", soaks.last, "the last seed");
+    soaked->add_option("--length", soaks.length, "s of load in each run")->check(CLI::Range(1.0, 600.0));
+    soaked->add_option("--jobs", soaks.jobs, "runs at a time")->check(CLI::Range(1, 16));
+    soaked->add_option("--logs", soaks.sockets.logs,
+                       "a folder for the proxies' logs, one for each seed in it");
+    soaked->add_flag("--print", soaks.prints, "prints the experiments and plays nothing");
     std::string setup;
     auto *const parts = app.add_subcommand("part", "a part of a run's world, started by the run");
     parts->add_option("setup", setup, "a file that the run wrote")->required();
@@ -260,6 +316,14 @@
             how.sockets.program = how.sockets.self.substr(0, how.sockets.self.rfind('/') + 1) + "harrierpass";
         if (*parts)
             return run_part(setup);
+        if (*soaked) {
+            soaks.last = std::max(soaks.first, soaks.last);
+            soaks.sockets.self = how.sockets.self;
+            soaks.sockets.program = how.sockets.program;
+            for (std::uint32_t seed = soaks.first; soaks.prints && seed <= soaks.last; ++seed)
+                std::cout << "# seed " << seed << '\n' << soak_experiment(seed, soaks.length);
+            return soaks.prints ? well : soak(soaks);
+        }
         if (*fleets)
             return serve_fleet(read_experiment(file), shell);
         if (*subsets) {
--- a/src/lab/runs/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -7,6 +7,7 @@
 #include "lab/runs/deciders.hpp"
 #include "net/threads.hpp"
 #include "proxy/service.hpp"
+#include "proxy/stop_schedule.hpp"
 
 #include <algorithm>
 #include <csignal>
@@ -20,12 +21,14 @@
 namespace harrierpass::lab {
 namespace {
 
-constexpr double slack = 0.05;       // s by which the clocks of processes and their reports may differ
-constexpr double ready_limit = 10;   // s for a proxy to be ready
-constexpr double look_again = 0.02;  // s between looks whether it is
-constexpr double wind_down = 30;     // s after the load for the last queries, at most
-constexpr double end_limit = 6;      // s for a planned end
-constexpr double still_come = 0.3;   // s after a proxy was told to end in which clients still come to it
+constexpr double slack = 0.05;      // s by which the clocks of processes and their reports may differ
+constexpr double ready_limit = 10;  // s for a proxy to be ready
+constexpr double look_again = 0.02; // s between looks whether it is
+constexpr double wind_down = 30;    // s after the load for the last queries, at most
+constexpr double end_limit = 6;     // s for a planned end
+constexpr double still_come = 0.3;  // s after a proxy was told to end in which clients still come to it
+constexpr int signals_in_series = 3;
+constexpr double idle_return = 0.2;  // s until an idle client that was ended comes back
 constexpr double late_share = 0.1;   // of the shortest SLO time; a generator later than this measures itself
 constexpr double least_late = 0.005; // s; or than this
 
@@ -39,6 +42,7 @@
     bool ready = false, ends = false;
     bool leaves = false; // told to end by the script
     bool reborn = false; // killed, and due again before its end was seen
+    index stops = 0;     // times that it was told to end by the script
     double again = -1;   // s after that end in which it is started again; below 0: never
     std::uint64_t resident_kb = 0;
 };
@@ -95,6 +99,7 @@
         const double began = steady_now();
         all_.on_proxy_kill = [this](index proxy, bool begins) { kill(proxy, begins); };
         all_.on_proxy_pause = [this](index proxy, bool begins) { pause(proxy, begins); };
+        all_.on_proxy_signals = [this](index proxy) { send_signals(proxy); };
         all_.on_proxy_restart = [this](index proxy, const fault_spec &fault) { restart(proxy, fault); };
         proxies_.resize(given_.proxies.count);
         const std::vector<bool> late = late_proxies(given_);
@@ -125,6 +130,9 @@
         const double all_up = loop_.clock.now() - starts;
         if (!given_.proxies.together)
             all_.start();
+        for (index i = 0; i < proxies_.size(); ++i)
+            for (index j = 0; j < given_.load.idle; ++j)
+                keep_idle(i, j);
         const double end = loop_.clock.now() + given_.length + wind_down;
         double told = loop_.clock.now();
         loop_.run([&] {
@@ -146,10 +154,15 @@
         loop_.run([&] { return fleet_.ended() || loop_.clock.now() > patience; });
         all_.events.gone(all_.own_events);
         all_.events.judge();
+        all_.judge.finish();
         run_result made = all_.result(as_, "sockets");
         if (!done)
             made.void_because = "queries were still open long after the load";
         made.rules.emplace_back("crashed", crashes_ + fleet_.deaths());
+        made.rules.emplace_back("invariants", violations_.size());
+        made.stories.insert(made.stories.end(), violations_.begin(), violations_.end());
+        made.fleet.emplace_back("stops", stops_);
+        made.fleet.emplace_back("stops_killed", stops_killed_);
         const auto count = std::max<std::uint64_t>(1, made.queries);
         std::uint64_t resident = 0;
         std::vector<double> cpus;
@@ -263,6 +276,9 @@
                 proxies_[number].at = at;
                 look(number);
             };
+            here.process->on_violation = [this](const std::string &line) {
+                violations_.push_back(line + '\n');
+            };
             here.process->on_counter = [this](const std::string &name, double value) {
                 counted_[name] += value;
             };
@@ -326,13 +342,57 @@
             return;
         here.leaves = true;
         here.again = fault.kind == fault_kind::proxy_restart ? fault.lasts : -1;
+        ++stops_;
         here.process->signal(SIGTERM);
+        here.process->signal(SIGTERM); // a second one is no news
+        // The platform's patience ends at the earliest moment that its page allows.
+        std::vector<double> deadlines;
+        for (const auto &each : given_.use_cases)
+            deadlines.push_back(each.statement_timeout);
+        const auto stop = proxy::stop_schedule_for(proxy::longest_deadline(deadlines));
+        loop_.clock.after(stop.earliest_kill, [this, number, now = ++here.stops] {
+            auto &still = proxies_[number];
+            if (!still.leaves || still.stops != now || !still.process->runs())
+                return;
+            ++stops_killed_;
+            still.process->signal(SIGKILL); // its end is seen in the loop, and what it had taken is lost
+        });
         loop_.clock.after(still_come, [this, number] {
             if (proxies_[number].leaves)
                 port_.avoid(number);
         });
     }
 
+    // Configurations in a row: the file is as it was, and yet each is read and comes into force with its
+    // list.
+    void send_signals(index number) {
+        auto &here = proxies_[number];
+        if (here.process && here.process->runs() && here.ready)
+            for (int i = 0; i < signals_in_series; ++i)
+                here.process->signal(SIGHUP);
+    }
+
+    // Clients that rest: every second one has asked for nothing at all. They come back when they are ended.
+    void keep_idle(index number, index which) {
+        auto &here = proxies_[number];
+        if (all_.done() || here.ends)
+            return;
+        const auto again = [this, number, which] {
+            loop_.clock.after(idle_return, [this, number, which] { keep_idle(number, which); });
+        };
+        if (!here.at || !here.ready || here.leaves)
+            return again();
+        const auto on = std::make_shared<channel>(loop_, dial_soon(*here.at), http_reader::side::answer);
+        idle_[{number, which}] = on;
+        if (!on->open())
+            return again();
+        on->on_message = [](const auto &, const http_reader &) {};
+        on->on_end = [again](const auto &, channel::ending) { again(); };
+        on->start(true);
+        if (which % 2 == 1)
+            on->send("GET /_health HTTP/1.1\r\nHost: lab\r\n\r\n");
+    }
+
     void kill(index number, bool begins) {
         auto &here = proxies_[number];
         if (!here.process)
@@ -370,6 +430,9 @@
     chance seeds_;
     std::map<std::string, double> counted_; // by the proxies, in all
     std::uint64_t crashes_ = 0;
+    double stops_ = 0, stops_killed_ = 0; // by the script; of them, those that did not end before the kill
+    std::vector<std::string> violations_; // of invariants, as the proxies told them
+    std::map<std::pair<index, index>, std::shared_ptr<channel>> idle_;
     std::unordered_map<index, std::shared_ptr<channel>> looks_;
     std::vector<proxy_here> proxies_;
 };
--- a/src/lab/runs/stage.cpp
+++ b/src/lab/runs/stage.cpp
@@ -79,12 +79,24 @@
     clock.after(people.slot_length() / samples_a_slot, [this] { sample(); });
 }
 
+// Whether a server, also one that joined later, is in one of the processes that the fault names.
+bool stage::stands_on(const fault_spec &fault, index server) const {
+    const index host = host_of(given, server);
+    return std::find(fault.hosts.begin(), fault.hosts.end(), host) != fault.hosts.end();
+}
+
 void stage::apply(const fault_spec &fault, bool begins) {
     for (const index each : fault.servers)
         set_server(fault, each, begins);
     if (on_host)
         for (const index each : fault.hosts)
             on_host(each, fault.kind, begins);
+    // A process that stands still reads late what came in time, and sees late what ended: as on a silent
+    // link.
+    if (fault.kind == fault_kind::host_stop)
+        for (index server = 0; server < servers.size(); ++server)
+            for (index proxy = 0; proxy < given.proxies.count && stands_on(fault, server); ++proxy)
+                sees.link_trouble(link_kind::proxy_server, proxy, server, begins);
     switch (fault.kind) {
     case fault_kind::list_silent:
         return list.silent(begins);
@@ -115,6 +127,11 @@
             if (on_proxy_restart)
                 on_proxy_restart(each, fault);
         return;
+    case fault_kind::proxy_signals:
+        for (const index each : fault.proxies)
+            if (on_proxy_signals)
+                on_proxy_signals(each);
+        return;
     default:
         break;
     }
--- a/src/lab/runs/stage.hpp
+++ b/src/lab/runs/stage.hpp
@@ -37,6 +37,7 @@
     std::function<void(index server)> on_broken; // its connections break
     std::function<void(index proxy, bool begins)> on_proxy_kill, on_proxy_pause;
     std::function<void(index proxy, const fault_spec &fault)> on_proxy_restart; // restart, end, late
+    std::function<void(index proxy)> on_proxy_signals;
     // What a server's model was told, for one that is in another process; a process of servers as a whole.
     std::function<void(const fault_spec &fault, index server, bool begins)> on_model;
     std::function<void(index host, fault_kind kind, bool begins)> on_host;
@@ -70,6 +71,7 @@
     fleet_figures figures;
 
 private:
+    bool stands_on(const fault_spec &fault, index server) const;
     void set_server(const fault_spec &fault, index server, bool begins);
     void model(const fault_spec &fault, index server, bool begins);
     void flap(const fault_spec &fault, index server, double until);
--- a/src/lab/world/spec.hpp
+++ b/src/lab/world/spec.hpp
@@ -98,10 +98,12 @@
         1;             // times the rate at the middle of the run, rising and falling by a sine; a day's curve
     index retries = 2; // further tries of a client
     double heed = 1;   // share of clients that wait as Retry-After says
-    double impatient = 0.05; // s that others wait
-    double uneven = 0;       // deviation of the logarithm of the proxies' parts of the load
-    double heaviest = 0;     // share of all that the first proxy carries; 0: its part like the others'
-    double hottest = 0;      // share of the queries that go to one key, beside what its popularity brings
+    double impatient = 0.05;   // s that others wait
+    double uneven = 0;         // deviation of the logarithm of the proxies' parts of the load
+    double heaviest = 0;       // share of all that the first proxy carries; 0: its part like the others'
+    double wait_beyond = 0.05; // s after its deadline in which a client still takes an answer as given
+    index idle = 0;            // connections at each proxy that rest, beside those of the load (sockets)
+    double hottest = 0;        // share of the queries that go to one key, beside what its popularity brings
 };
 
 // What the proxies are told; nothing else of a run follows from it.
@@ -154,6 +156,7 @@
     proxy_restart, // told to end, and started again, with another configuration, `for` after it has gone
     proxy_end,     // told to end, for good
     proxy_late,    // not there before
+    proxy_signals, // told to read its configuration again, several times at once
     host_kill,     // a process of servers is killed outright and started again after `for`
     host_stop,     // it stands still
     list_kill,     // the list service is killed and started again
