A wait that is advised ends inside the window of repeats; soak's clients use open connections to the end

Cause: router's finish() looked at the window now, not at the advised return. Change: the advice is at most half of what is left of the window; a request out of time that never ran is refused (503, with a time), not failed; clients of the laboratory go on using open connections of a proxy that stops, and repeat nothing after trouble of their link; second executions are judged once the first one's end could be seen.

--- a/src/lab/judge/referee.hpp
+++ b/src/lab/judge/referee.hpp
@@ -69,7 +69,7 @@
 
     std::function<void(index server)> on_received; // an execution came to it
 
-    std::uint64_t broken(rule which) const { return broken_[static_cast<std::size_t>(which)]; }
+    std::uint64_t broken(rule which) const;
     std::uint64_t broken() const;
     const std::vector<std::string> &stories() const { return stories_; } // of the first few
     std::uint64_t executions() const { return executions_; }
@@ -131,6 +131,7 @@
         double when;
     };
     void judge_overlaps(double until);
+    std::uint64_t overlaps_due() const; // that the next event makes broken rules
     bool strained(link_kind kind, index near, index far, double at) const;
     record *find(operation op);
     open_try *find(record &of, index attempt);
--- a/src/lab/load/client_port.hpp
+++ b/src/lab/load/client_port.hpp
@@ -14,7 +14,12 @@
 
     // Where a proxy is, from now on; none: it is not there, and what it had is cut.
     void place(index proxy, const std::optional<address> &at);
-    void avoid(index proxy) { proxies_.at(proxy).at.reset(); } // nothing new goes there; what is open stays
+    void avoid(index proxy) {
+        proxies_.at(proxy).at.reset();
+    } // no new connection goes there; open ones are used on
+    // Whether the link to a proxy was in trouble at some time since: a connection that ends then has crossed
+    // nothing that a client could tell from what was read.
+    std::function<bool(index proxy, double since)> troubled = [](index, double) { return false; };
     std::size_t open() const { return open_.size(); }
     std::size_t dials() const { return dials_; }
 
@@ -22,12 +27,14 @@
     struct waiting_answer {
         asking of;
         bool again = false; // was sent once before, on a connection that ended
+        double sent = 0;    // when, s
     };
     void put(const asking &query, bool again);
     void leave(const asking &query);
     void message(const std::shared_ptr<channel> &on, const http_reader &answer);
     void ended(const std::shared_ptr<channel> &on, channel::ending how);
     void drop(const std::shared_ptr<channel> &on);
+    bool may_use_open(index proxy);
     std::string text_of(const asking &query) const;
 
     struct place_of_proxy {
--- a/src/lab/program/main.cpp
+++ b/src/lab/program/main.cpp
@@ -295,6 +295,7 @@
     soaked->add_option("--jobs", soaks.jobs, "runs at a time")->check(CLI::Range(1, 16));
     soaked->add_option("--logs", soaks.sockets.logs,
                        "a folder for the proxies' logs, one for each seed in it");
+    soaked->add_option("--program", how.sockets.program, "the proxy; else the one beside harrierlab");
     soaked->add_flag("--print", soaks.prints, "prints the experiments and plays nothing");
     std::string setup;
     auto *const parts = app.add_subcommand("part", "a part of a run's world, started by the run");
--- a/src/lab/runs/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -99,6 +99,9 @@
         const double began = steady_now();
         all_.on_proxy_kill = [this](index proxy, bool begins) { kill(proxy, begins); };
         all_.on_proxy_pause = [this](index proxy, bool begins) { pause(proxy, begins); };
+        port_.troubled = [this](index proxy, double since) {
+            return all_.client_link_troubled(proxy, since);
+        };
         all_.on_proxy_signals = [this](index proxy) { send_signals(proxy); };
         all_.on_proxy_restart = [this](index proxy, const fault_spec &fault) { restart(proxy, fault); };
         proxies_.resize(given_.proxies.count);
--- a/src/lab/runs/stage.cpp
+++ b/src/lab/runs/stage.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace harrierpass::lab {
@@ -10,6 +11,7 @@
 
 constexpr double flap_period = 0.5;       // s that a flapping list names a server, and leaves it out
 constexpr double least_trouble = 0.25;    // s; a shorter silence is a pause, and who suspects it is wrong
+constexpr double heal_time = 0.1;         // s after a link's trouble in which its ends hear of what broke
 constexpr double samples_a_slot = 4;      // looks at what servers have in hand
 constexpr std::size_t most_servers = 400; // of which a run keeps what they had in hand
 
@@ -31,6 +33,9 @@
     links.on_change = [this](const link_id &which, const link_now &before, const link_now &now) {
         if (before.troubled() != now.troubled())
             sees.link_trouble(which.kind, which.near, which.far, now.troubled());
+        if (which.kind == link_kind::client_proxy)
+            client_trouble_[which.far] =
+                now.troubled() ? std::numeric_limits<double>::infinity() : clock.now() + heal_time;
         if (on_link)
             on_link(which, before, now);
     };
@@ -40,6 +45,11 @@
     in_hand_.resize(std::min<std::size_t>(servers.size(), most_servers));
 }
 
+bool stage::client_link_troubled(index proxy, double since) const {
+    const auto found = client_trouble_.find(proxy);
+    return found != client_trouble_.end() && found->second >= since;
+}
+
 void stage::start() {
     figures.begin();
     start_faults();
--- a/src/lab/runs/stage.hpp
+++ b/src/lab/runs/stage.hpp
@@ -45,6 +45,8 @@
     // Its state is the table's; the referee has been told.
     std::function<void(const link_id &, const link_now &before, const link_now &now)> on_link;
 
+    // Whether the clients' link to a proxy was in trouble at some time since.
+    bool client_link_troubled(index proxy, double since) const;
     run_result result(const variant_spec &of, const char *mode) const;
 
     timeline &clock;
@@ -79,8 +81,9 @@
     void sample();
 
     const std::uint32_t seed_;
-    std::vector<std::vector<double>> in_hand_; // by server, slot
-    std::vector<double> samples_, fetches_;    // by slot
+    std::unordered_map<index, double> client_trouble_; // by proxy, until when; never iterated
+    std::vector<std::vector<double>> in_hand_;         // by server, slot
+    std::vector<double> samples_, fetches_;            // by slot
     std::uint64_t fetched_ = 0;
 };
 
--- a/src/proxy/control.cpp
+++ b/src/proxy/control.cpp
@@ -18,6 +18,7 @@
 constexpr double call_limit = 4.5;      // s for a call to come whole; some say nothing for 4 s
 constexpr double linger_limit = 0.5;    // s in which a caller may still read its answer
 constexpr double write_limit = 0.1;     // s; a page fits into the system's buffer, so it is never waited for
+constexpr double short_pause = 0.005;   // s until a caller is accepted again that could not be
 constexpr double look_period = 0.25;    // s between looks at who has stayed too long
 
 // The one value of `target` in a query string; empty, with the fault named, where it is not there once.
@@ -95,12 +96,16 @@
     for (std::size_t taken = 0; taken < most_callers; ++taken) {
         address peer;
         tcp_socket from = accept_on(socket_, peer);
-        if (!from && (errno == EMFILE || errno == ENFILE) && !callers_.empty()) {
+        if (!from && is_own_shortage(errno) && !callers_.empty()) {
             callers_.pop_front();
             from = accept_on(socket_, peer);
         }
-        if (!from)
+        if (!from) {
+            if (errno != EAGAIN &&
+                errno != EWOULDBLOCK) // guards the CPU: the caller still waits to be accepted
+                wait_on({}, short_pause);
             return;
+        }
         try {
             if (callers_.size() >= most_callers)
                 callers_.pop_front();
--- a/src/proxy/handover.cpp
+++ b/src/proxy/handover.cpp
@@ -19,6 +19,7 @@
 constexpr double ask_limit = 1;                      // s for the process that serves to hand over
 constexpr std::chrono::milliseconds tell_limit{400}; // for the others; operators wait no longer than 1 s
 constexpr double used_period = 0.05;                 // s between words on descriptors
+constexpr double accept_pause = 0.005;               // s until a successor is accepted that could not be
 constexpr double alone_look = 0.25;   // s; the longest that a call which is lost delays the door
 constexpr std::size_t most_links = 4; // successors at a time; the platform starts one
 constexpr std::size_t message_limit = 128UL * 1024; // bytes; some thousand servers out by hand
@@ -218,6 +219,8 @@
         }
         if (waits.front().revents != 0) {
             tcp_socket from(::accept4(door_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+            if (!from) // guards the CPU: it still waits to be accepted
+                wait_on({}, accept_pause);
             if (from && is_ours(from) && links_.size() < most_links) {
                 const std::lock_guard hold(lock_);
                 links_.push_back({std::move(from)});
--- a/src/proxy/probe.cpp
+++ b/src/proxy/probe.cpp
@@ -53,6 +53,8 @@
             upstream_.end(std::move(to), desk_.now(), "out");
         return std::nullopt; // not made
     }
+    if (!to.socket && to.own_shortage) // says nothing of the server
+        return std::nullopt;
     counters_.add(count::probes);
     if (!to.socket) {
         upstream_.end_kept(server, desk_.now(), "suspect");
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -238,8 +238,13 @@
         // Guards against a planned end that would cut it off, and against a held query that nobody ends.
         if (desk.now() >= patience() + own_margin) {
             let_go();
-            count.add(count::aborted);
             refused_for_ = desk.now() >= stop_by() ? "stopping" : "out_of_time";
+            if (!guard_.may_have_run()) {
+                count.add(count::rejected);
+                return done(
+                    final_answer(verdict::deferred, 503, come_back_in(given_->decisions.allow.max_advice)));
+            }
+            count.add(count::aborted);
             return done(final_answer(verdict::errored, 504));
         }
         if (now.what == orders::kind::hold) {
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -60,6 +60,7 @@
 constexpr double repeat_burst = 10;  // repeats saved up; enough for what one dying server held
 constexpr double hold_share = 0.25;  // of the SLO time, and of its client's, that a query may wait for room
 constexpr double excess_room = 4;    // times their worth; so much of the room may queries beyond shares fill
+constexpr double advice_share = 0.5; // of what is left of a window; the rest is for the client and its way
 constexpr double tenant_burst = 8;   // queries; a proxy's small part of a share comes unevenly
 constexpr std::size_t drain_batch = 16; // held queries looked at for one freed place; bounds the CPU
 constexpr double first_call_gap = 0.5;  // s between calls for the list after a lost one, doubling
@@ -366,8 +367,12 @@
     }
 
     input finish(index id) {
-        actions.push_back({may_go(queries_[id], none) ? action_kind::reject : action_kind::abort, id});
-        actions.back().time = allow_.max_advice;
+        // Guards "no effect twice" against a wait that is advised beyond the window: the client comes back
+        // inside it, where servers still know what may have run.
+        const auto &qry = queries_[id];
+        const double left = go_by(qry, qry.executions.size(), none) - now_;
+        actions.push_back({left > 0 ? action_kind::reject : action_kind::abort, id});
+        actions.back().time = std::min(allow_.max_advice, std::max(0.0, left * advice_share));
         return drop(id);
     }
 
