Referee: overlaps are judged before an end that comes later takes them off

Cause: over() dropped a second execution that had been out for longer than the slack before anything judged it; lab_test saw it.

--- a/src/lab/judge/referee.cpp
+++ b/src/lab/judge/referee.cpp
@@ -202,6 +202,7 @@
     record *const of = find(op);
     if (of == nullptr)
         return;
+    judge_overlaps(clock_.now() - slack_);
     std::erase_if(overlaps_, [&](const overlap &each) {
         return each.op == op && each.attempt == attempt && each.server != server;
     });
