--- a/src/lab/judge/referee.hpp
+++ b/src/lab/judge/referee.hpp
@@ -107,6 +107,7 @@
     struct run_of { // one execution
         index attempt, server;
         double received;
+        bool held = false; // its way was in trouble: when it was sent is not known
         bool ran = false;
     };
     struct record {
--- a/src/lab/runs/socket_run.cpp
+++ b/src/lab/runs/socket_run.cpp
@@ -274,6 +274,8 @@
                 command = {how_.self, "proxy", "--plant", name_of(as_.breaks), path + ".json"};
             else if (as_.by != decider::module)
                 command = {how_.self, "proxy", "--by", name_of(as_.by), path + ".json"};
+            if (given_.system.any())
+                command = with_system_faults(std::move(command));
             here.process = std::make_unique<child_process>(loop_, command, path + ".log");
             here.process->on_listening = [this, number](const address &at) {
                 proxies_[number].at = at;
@@ -366,6 +368,18 @@
         });
     }
 
+    // The same command with the library of system faults in it, which stands beside this program.
+    std::vector<std::string> with_system_faults(std::vector<std::string> command) {
+        const auto &faults = given_.system;
+        const std::string library =
+            how_.self.substr(0, how_.self.rfind('/') + 1) + "harrierpass_system_faults.so";
+        std::ostringstream plan;
+        plan << "HARRIERPASS_FAULTS=" << seeds_.seed() << ' ' << faults.rate << ' ' << faults.from << ' '
+             << faults.lasts << ' ' << faults.clock_step;
+        command.insert(command.begin(), {"/usr/bin/env", "LD_PRELOAD=" + library, plan.str()});
+        return command;
+    }
+
     // Configurations in a row: the file is as it was, and yet each is read and comes into force with its
     // list.
     void send_signals(index number) {
--- a/src/lab/soak/soak_plan.cpp
+++ b/src/lab/soak/soak_plan.cpp
@@ -41,6 +41,7 @@
         write_server_faults();
         write_process_faults();
         write_link_faults();
+        write_system_faults();
         return text_.str();
     }
 
@@ -176,6 +177,18 @@
         }
     }
 
+    // In some runs calls of the system fail for a while, or the wall clock steps.
+    void write_system_faults() {
+        const bool fails = chance_.happens(0.35), steps = chance_.happens(0.2);
+        if (!fails && !steps)
+            return;
+        text_ << "\n[system]\nfrom = \"" << between(0, 3) << "s\"\nfor = \"" << between(0.5, 3)
+              << "s\"\nrate = " << (fails ? between(0.005, 0.05) : 0.0) << "\n";
+        if (steps)
+            text_ << "clock_step_s = " << (chance_.happens(0.5) ? 1 : -1) * (chance_.happens(0.5) ? 3600 : 5)
+                  << "\n";
+    }
+
     chance chance_;
     const double length_;
     std::ostringstream text_;
--- a/src/lab/world/spec.cpp
+++ b/src/lab/world/spec.cpp
@@ -606,6 +606,14 @@
         to.tenants.push_back(std::move(one));
     });
     top.tables("fault", [&](section &from) { read_fault(from, to); });
+    top.table("system", [&](section &from) {
+        from.number("rate", to.system.rate, 0, 0.5);
+        from.seconds("from", to.system.from, 0, most_length);
+        from.seconds("for", to.system.lasts, 0, most_length);
+        from.number("clock_step_s", to.system.clock_step, -1e6, 1e6);
+        if (to.system.rate > 0 && to.system.lasts <= 0)
+            from.refuse_key("rate", "needs `for`");
+    });
     top.tables("link", [&](section &from) { read_link(from, to); });
     top.tables("variant", [&](section &from) {
         variant_spec one;
--- a/src/lab/world/spec.hpp
+++ b/src/lab/world/spec.hpp
@@ -201,6 +201,14 @@
     double lost = 0, doubled = 0, reordered = 0; // shares of datagrams
 };
 
+// What the system does to the proxies' processes (sockets; src/lab/faults).
+struct system_fault_spec {
+    double rate = 0;            // share of the calls that fail or do a part of what was asked
+    double from = 0, lasts = 0; // s since a process's start
+    double clock_step = 0;      // s that the wall clock is off from then on
+    bool any() const { return rate > 0 || clock_step != 0; }
+};
+
 enum class decider : std::uint8_t { module, whole_list, random, least_of_two, plain_ring };
 // A rule that the lab's own stand-in proxy breaks on purpose, to show that the referee sees it.
 enum class plant : std::uint8_t {
@@ -238,6 +246,7 @@
     std::vector<tenant_spec> tenants;
     std::vector<fault_spec> faults;
     std::vector<link_fault_spec> links;
+    system_fault_spec system;
     std::vector<variant_spec> variants;
 };
 
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -114,7 +114,9 @@
     if (::connect(made.get(), reinterpret_cast<const sockaddr *>(&to.where), to.size) == 0)
         return made;
     // Interrupted, it goes on by itself (connect(2)), and what comes of it is told by the socket.
-    const int why = errno == EINTR ? connect_result(made, limit) : errno;
+    const int why = errno == EINTR    ? connect_result(made, limit)
+                    : errno == EAGAIN ? EADDRNOTAVAIL // no port of this machine's is free
+                                      : errno;
     if (why != 0)
         made.close();
     errno = why;
--- a/src/net/threads.cpp
+++ b/src/net/threads.cpp
@@ -1,17 +1,21 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "net/threads.hpp"
 
+#include <cerrno>
 #include <chrono>
 #include <csignal>
 #include <ctime>
 #include <memory>
 #include <mutex>
 #include <system_error>
+#include <thread>
 
 namespace harrierpass {
 namespace {
 
 constexpr int call_signal = SIGUSR2;
+constexpr double thread_patience = 2; // s that a thread which the program needs is tried for
+constexpr std::chrono::milliseconds thread_pause{10};
 constexpr std::size_t stack_size = 256UL * 1024; // bytes; of address space, a query touches some 20 KiB
 
 sigset_t every_signal() {
@@ -82,7 +86,14 @@
 }
 
 joined_thread::joined_thread(std::function<void()> body) {
-    if (const int failed = start(id_, std::move(body), false))
+    // Without it there is no proxy, so a want that may pass is waited for.
+    int failed = EAGAIN;
+    for (const double end = steady_now() + thread_patience; failed == EAGAIN && steady_now() < end;) {
+        failed = start(id_, body, false);
+        if (failed == EAGAIN)
+            std::this_thread::sleep_for(thread_pause);
+    }
+    if (failed != 0)
         throw std::system_error(failed, std::generic_category(), "no thread");
 }
 
--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -33,6 +33,7 @@
     0.25; // of the SLO time; a lost packet's delay, where that is a second and more
 // After a connection's last answer; more bytes would cost more than they are worth.
 constexpr linger_terms last_linger = {0.2, 512UL * 1024};
+constexpr double stop_linger = 0.1; // s after a stop's last answer; a third of what is left until the kill
 // A client may read why its long body was turned off.
 constexpr linger_terms upload_linger = {2, longest_body};
 // Answers to a request that a failure of our own ends; whole texts, as there may be no memory.
@@ -670,7 +671,7 @@
         request.log_end(why);
     } // its buffer is free while the connection lingers
     // Guards the last answers of a stop: the process has to be gone, by itself, before it may be killed.
-    const double until_stop = std::max(0.0, with.answer_by + last_linger.limit - with.decides.now());
+    const double until_stop = std::max(0.0, with.answer_by + stop_linger - with.decides.now());
     if (why != nullptr && from.lingers.most > 0)
         release(from.socket, std::min(from.lingers.limit, until_stop), from.lingers.most);
     return why;
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -13,6 +13,7 @@
 #include <malloc.h>
 #include <sys/resource.h>
 #include <system_error>
+#include <thread>
 
 namespace harrierpass::proxy {
 namespace {
@@ -25,7 +26,9 @@
 constexpr std::size_t refused_room = 32; // the listener's connections beyond its most
 constexpr double own_memory_mb = 8;      // code, router, list, log; 2 to 3 were seen
 constexpr double client_memory_mb = 0.2; // two buffers and a stack in use; at rest some 0.03
-constexpr double short_wait = 0.005;     // s between looks whether the list is there
+constexpr double listen_patience = 2;    // s that the address to listen on is tried for
+constexpr std::chrono::milliseconds listen_pause{20};
+constexpr double short_wait = 0.005; // s between looks whether the list is there
 
 // Descriptors, but for some without which nothing goes on.
 std::size_t left_of(std::size_t all, std::size_t taken) {
@@ -72,8 +75,13 @@
         throw bad_text{"the address to listen on is not usable"};
     tcp_socket socket = take_over(*where);
     const bool inherited = static_cast<bool>(socket);
-    if (!inherited)
+    // A want of this machine's may pass, and so does the process before that still holds the address.
+    for (const double end = steady_now() + listen_patience; !socket;) {
         socket = listen_on(*where, handover_.has_value());
+        if (socket || !is_own_shortage(errno) || steady_now() >= end)
+            break;
+        std::this_thread::sleep_for(listen_pause);
+    }
     if (!socket)
         throw std::system_error(errno, std::generic_category(), "cannot listen on " + given_.listen);
     at_ = local_address(socket);
