--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -72,9 +72,8 @@
 
 private:
     const char *read(http_reader &asked);
-    const char *refuse_text(int status, const char *reason);
+    const char *refuse_text(int status, const char *reason, string_view fields = {});
     const char *refuse(int status, string_view fields, string_view why);
-    const char *refuse_stopping();
     bool left_unsent();
     execution_end execute(const orders &now, http_reader &asked, http_reader &answer);
     execution_end upload(const tcp_socket &to, http_reader &asked);
@@ -120,7 +119,6 @@
 
     engine &with_;
     client &from_;
-    request_guard guard_;
     ticket ticket_;
     std::shared_ptr<const configuration> given_; // by which the query was understood
     open_ids::holder id_;
@@ -139,6 +137,7 @@
     double stall_limit_ = 0; // s in which an answer that has begun must go on
 
     std::string request_id_;            // as the client gave it
+    request_guard guard_;               // knows the request by that
     double read_at_ = 0;                // Unix time, s, when its last byte was read; 0: it never was
     int status_ = 0;                    // of the answer that was begun; 0: none was
     index attempts_ = 0;                // begun at servers
@@ -200,8 +199,13 @@
         keeps_ = false;
         return done(final_answer(verdict::deferred, 503, come_back_in(given_->decisions.allow.max_advice)));
     }
-    if (came >= stop_by())
-        return done(refuse_stopping());
+    // Nothing of it was sent anywhere, and the stop leaves no time for it.
+    if (came >= stop_by()) {
+        count.add(count::rejected);
+        refused_for_ = "stopping";
+        keeps_ = false;
+        return done(final_answer(verdict::deferred, 503, come_back_in(given_->decisions.allow.max_advice)));
+    }
     const auto bounded = [&] {
         patience_ = wanted.patience;
         wanted.made.uploading = uploads_;
@@ -322,6 +326,7 @@
     status_ = harmless ? 503 : 502;
     refused_for_ = reason;
     write_all(from_.socket, harmless ? failed_unsent : failed_sent, {}, write_limit);
+    from_.lingers = last_linger;
     return reason;
 }
 
@@ -349,7 +354,8 @@
     while (state == http_reader::state::more) {
         // Guards the request of a client that writes slowly: the stop ends before its last byte may come.
         if (with_.decides.now() >= stop_by())
-            return refuse_stopping();
+            return refuse_text(503, "draining",
+                               come_back_in(with_.decides.given()->decisions.allow.max_advice));
         if (expects && asked.has_head() && same_name(asked.head().value("Expect"), "100-continue")) {
             expects = false;
             write_all(from_.socket, "HTTP/1.1 100 Continue\r\n\r\n", {}, write_limit);
@@ -380,22 +386,13 @@
 }
 
 // For bytes that are no query.
-const char *life::refuse_text(int status, const char *reason) {
+const char *life::refuse_text(int status, const char *reason, string_view fields) {
     with_.count.add(count::bad_requests);
     keeps_ = false;
-    answer(status, {}, {});
+    answer(status, fields, {});
     return reason;
 }
 
-// For a request that the stop leaves no time for; nothing of it was sent anywhere.
-const char *life::refuse_stopping() {
-    with_.count.add(count::rejected);
-    refused_for_ = "stopping";
-    keeps_ = false;
-    final_answer(verdict::deferred, 503, come_back_in(with_.decides.given()->decisions.allow.max_advice));
-    return "draining";
-}
-
 // For what can be read and is no query: the connection may go on, if it does not bring many of them.
 const char *life::refuse(int status, string_view fields, string_view why) {
     with_.count.add(count::bad_requests);
--- a/src/proxy/request_guard.hpp
+++ b/src/proxy/request_guard.hpp
@@ -9,7 +9,6 @@
 #include "base/log.hpp"
 #include "router/types.hpp"
 
-#include <string>
 #include <string_view>
 
 namespace harrierpass::proxy {
@@ -48,7 +47,7 @@
     request_guard(const request_guard &) = delete;
     request_guard &operator=(const request_guard &) = delete;
 
-    // The request has been read whole: from now on an answer is owed.
+    // The request has been read whole: from now on an answer is owed. `id` has to outlive the guard.
     void read(std::string_view id, const use_case &kind, double deadline);
     // Its body comes while it is sent: the deadline counts from the body's end.
     void move_deadline(double deadline) { deadline_ = deadline; }
@@ -67,7 +66,7 @@
     bool holds(bool condition, invariant which);
 
     invariant_monitor &monitor_;
-    std::string id_;
+    std::string_view id_;
     use_case kind_;
     double deadline_ = 0;
     double first_sent_ = 0; // of the attempts that may have run
