Planned stop: new connections are taken for 0.45 s also where deadlines are under 0.1 s

Cause: end() took the smaller of grace and accept_until, so that a stop with deadlines of 40 ms listened for 0.34 s; the front deals out new connections for up to 0.4 s. Found by a second reading. Change: the schedule is used as it is; a grace of the caller's own replaces its moments in one place. A long answer to an old client that a stop cuts is reset also where that client had stopped reading.

--- a/src/proxy/query.cpp
+++ b/src/proxy/query.cpp
@@ -338,7 +338,8 @@
         return;
     with_.lines.at(how, "request-end id=", request_id_, " use-case=", use_case_, " status=", status_,
                    " attempts=", attempts_, " took=", read_at_ > 0 ? now - read_at_ : 0,
-                   " left=", read_at_ > 0 ? statement_end_ - now : 0, " stopping-for=", with_.stopping_for(),
+                   " left=", statement_end_ > 0 ? statement_end_ - now : 0,
+                   " stopping-for=", with_.stopping_for(),
                    " refused-for=", refused_for_ != nullptr ? refused_for_ : "-",
                    " connection=", connection_reason != nullptr ? connection_reason : "kept",
                    unanswered ? " unanswered=1" : "");
@@ -613,7 +614,7 @@
     }
     keeps_ = false;
     // Guards a client that could take what came for all of it.
-    if (how == framing::by_close && end != relay_end::sink_broke) {
+    if (how == framing::by_close && (end != relay_end::sink_broke || desk.now() >= stop_by())) {
         const struct ::linger at_once { 1, 0 };
         setsockopt(from_.socket.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
     }
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -254,23 +254,25 @@
     return stop_schedule_for(longest);
 }
 
-void service::end() {
-    end(schedule().close_idle);
+void service::end(double grace) {
+    stop_schedule stop = schedule();
+    stop.close_idle = stop.accept_until = grace;
+    stop.last_answer = std::max(stop.last_answer, grace);
+    end(stop);
 }
 
-void service::end(double grace) {
+void service::end(const stop_schedule &stop) {
     if (!acceptor_)
         return;
-    const stop_schedule stop = schedule();
     engine_.handed_over = handover_ && handover_->succeeded();
-    log_.info("draining grace=", grace, " last-answer=", stop.last_answer,
+    log_.info("draining grace=", stop.close_idle, " last-answer=", stop.last_answer,
               " earliest-kill=", stop.earliest_kill, " connections=", listener_->connections(),
               " handed-over=", engine_.handed_over.load());
     const double now = desk_.now();
     engine_.least_idle = stop.least_idle;
-    engine_.answer_by = now + std::max(grace, stop.last_answer);
-    engine_.accept_until = now + std::min(grace, stop.accept_until);
-    engine_.close_at = now + grace;
+    engine_.answer_by = now + stop.last_answer;
+    engine_.accept_until = now + stop.accept_until;
+    engine_.close_at = now + stop.close_idle;
     engine_.drain_at = now;
     call(acceptor_->id());
     acceptor_.reset(); // returns when all is answered
--- a/src/proxy/service.hpp
+++ b/src/proxy/service.hpp
@@ -21,7 +21,7 @@
     // A planned stop by the schedule of the deployment (stop_schedule.hpp): serves as before, then closes
     // what is at rest, answers what is left, and returns. `grace`: s until connections close, in place of the
     // schedule's.
-    void end();
+    void end() { end(schedule()); }
     void end(double grace);
 
     // Takes from a new configuration what may change under load: where discovery is. Throws bad_text, and
@@ -37,6 +37,7 @@
 private:
     bool over() const { return over_.load(); }
     stop_schedule schedule();
+    void end(const stop_schedule &stop);
     void open_door();
     tcp_socket take_over(const address &where);
     void link_up();
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -118,6 +118,16 @@
     CHECK(with.executions() == 0);
 }
 
+// Guards clients that the front still sends here, however short the deadlines are.
+TEST_CASE("planned stop: new connections are taken for as long as the front deals them out") {
+    stand with({.statement_ms = 40, .starts = false});
+    running process(with, "planned-stop-front.json");
+    process.proxy.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(400)); // the front's longest
+    CHECK(toy_client(process.port).ask("GET /_health HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(process.proxy.status() == 0);
+}
+
 // The order of a stop's moments, and the margins between them, for every longest deadline.
 TEST_CASE("planned stop: the schedule follows the earliest kill") {
     constexpr double front = 0.4;    // s for which the front deals out new connections
