Review case 3: more pairs of new configurations within the same time

Change: pairs come every 0.1 s instead of every 0.25 s, and the time between the two lies between 30 and 120 us.

--- a/review/3/reload_series.cpp
+++ b/review/3/reload_series.cpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 // Under load, the file of the configuration is replaced and the proxy gets SIGHUP, twice in quick succession, every
-// quarter of a second. The proxy must not end.
+// tenth of a second. The proxy must not end.
 #include "../stage.hpp"
 
 using namespace stage;
@@ -10,8 +10,8 @@
 constexpr int node_count = 4, client_count = 4;
 constexpr double length = 90;       // s, at most
 constexpr int in_a_row = 2;         // new configurations, one after the other
-constexpr double gaps[] = {0.00002, 0.00005, 0.00008, 0.00011, 0.00014}; // s between them, in turn
-constexpr double single_gap = 0.25; // s between pairs; with TROUBLE=0 between single configurations
+constexpr double gaps[] = {0.00003, 0.00005, 0.00007, 0.00009, 0.00012}; // s between them, in turn
+constexpr double single_gap = 0.1; // s between pairs; with TROUBLE=0 between single configurations
 constexpr double work = 0.020;
 
 std::atomic<bool> stop{false};
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# TROUBLE=0: one new configuration every quarter of a second, for 20 s.
+# TROUBLE=0: one new configuration every tenth of a second, for 20 s.
 exec "$(dirname "$0")/../case.sh" "$(dirname "$0")" reload_series
