--- /dev/null
+++ b/tests/proxy/long_body_test.cpp
@@ -0,0 +1,260 @@
+// SPDX-License-Identifier: Apache-2.0
+// Long bodies: requests and responses that are relayed while they arrive, because they do not fit into a
+// buffer.
+#include "support/stand.hpp"
+
+#include <random>
+
+namespace harrierpass::proxy {
+namespace {
+
+constexpr std::size_t long_body_size = 32UL * 1024 * 1024; // bytes; the largest body that occurs
+
+// The peak resident memory of the process since its start, kB.
+long peak_memory_kb() {
+    std::ifstream status("/proc/self/status");
+    for (std::string word; status >> word;)
+        if (word == "VmHWM:") {
+            long size = 0;
+            status >> size;
+            return size;
+        }
+    return 0;
+}
+
+// An endpoint that passes each accepted connection to a function, which reads and writes its bytes.
+class raw_endpoint {
+public:
+    raw_endpoint(const raw_endpoint &) = delete;
+    raw_endpoint &operator=(const raw_endpoint &) = delete;
+    explicit raw_endpoint(std::function<void(int fd)> handle_connection)
+        : handle_connection_(std::move(handle_connection)),
+          listening_socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        auto bound_address = test::loopback_address(0);
+        socklen_t size = sizeof bound_address;
+        if (::bind(listening_socket_, reinterpret_cast<sockaddr *>(&bound_address), size) != 0 ||
+            ::listen(listening_socket_, 8) != 0)
+            throw std::runtime_error("no port");
+        ::getsockname(listening_socket_, reinterpret_cast<sockaddr *>(&bound_address), &size);
+        port = ntohs(bound_address.sin_port);
+        thread_ = std::thread([this] {
+            for (int fd; (fd = ::accept(listening_socket_, nullptr, nullptr)) >= 0;) {
+                handle_connection_(fd);
+                ::close(fd);
+            }
+        });
+    }
+    ~raw_endpoint() {
+        ::shutdown(listening_socket_, SHUT_RDWR);
+        thread_.join();
+        ::close(listening_socket_);
+    }
+    int port = 0;
+
+private:
+    std::function<void(int)> handle_connection_;
+    int listening_socket_;
+    std::thread thread_;
+};
+
+// The configuration with an endpoint list of one endpoint on `port`.
+std::string configuration_with_endpoint(const proxy_fixture &fixture, int port) {
+    std::string config = fixture.config;
+    const std::string known =
+        R"({"revision":41,"complete":true,"members":[{"id":"s0","host_port":"127.0.0.1:)" +
+        std::to_string(port) +
+        R"(","locality":"a","flavor":"m","cell":0,"phase":"active","size":1.0,"up_since_ms":0}]})";
+    return config.replace(config.find(R"("known":null)"), 12, R"("known":)" + known);
+}
+
+// A proxy with one raw endpoint. Discovery sends no list.
+struct raw_endpoint_fixture {
+    explicit raw_endpoint_fixture(std::function<void(int fd)> handle_connection)
+        : fixture({.discovery_silent = true, .start_proxy = false}), server(std::move(handle_connection)) {
+        std::string config = fixture.config;
+        const auto begin = config.find(R"("known":{)"), end = config.find(R"(,"settings")");
+        config.replace(begin, end - begin, R"("known":null)");
+        fixture.config = config;
+        proxy =
+            std::make_unique<service>(read_configuration(configuration_with_endpoint(fixture, server.port)),
+                                      log_output, log_level::debug);
+        port = ntohs(reinterpret_cast<const sockaddr_in &>(proxy->listen_address().storage).sin_port);
+    }
+    proxy_fixture fixture;
+    std::ostringstream log_output;
+    raw_endpoint server;
+    std::unique_ptr<service> proxy;
+    int port = 0;
+};
+
+std::string read_head(int fd) {
+    std::string head;
+    for (char byte; head.find("\r\n\r\n") == std::string::npos && ::recv(fd, &byte, 1, 0) == 1;)
+        head += byte;
+    return head;
+}
+void write_filler(int fd, std::size_t size) {
+    const std::string part(65536, 'v');
+    for (; size > 0; size -= std::min(size, part.size()))
+        test::send_all(fd, part.substr(0, std::min(size, part.size())));
+}
+std::size_t read_bytes(int fd, std::size_t size) {
+    std::vector<char> part(65536);
+    std::size_t received = 0;
+    for (long count; received < size; received += static_cast<std::size_t>(count))
+        if ((count = ::recv(fd, part.data(), std::min(part.size(), size - received), 0)) <= 0)
+            break;
+    return received;
+}
+int connect_to_port(int port) {
+    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
+    const auto peer = test::loopback_address(port);
+    REQUIRE(::connect(fd, reinterpret_cast<const sockaddr *>(&peer), sizeof peer) == 0);
+    return fd;
+}
+
+} // namespace
+
+// The client does not read while the endpoint sends 32 MiB, and the endpoint does not read while the client
+// sends 32 MiB.
+TEST_CASE("long bodies: 32 MiB in each direction use bounded memory while the receiver waits") {
+    std::atomic<bool> read_body = false;
+    std::atomic<std::size_t> received_size = 0;
+    raw_endpoint_fixture fixture([&](int fd) {
+        const std::string head = read_head(fd);
+        if (head.starts_with("PUT")) {
+            while (!read_body)
+                std::this_thread::yield();
+            received_size = read_bytes(fd, long_body_size);
+            test::send_all(fd, ok_response("stored"));
+        } else {
+            test::send_all(fd, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(long_body_size) +
+                                   "\r\n\r\n");
+            write_filler(fd, long_body_size);
+        }
+    });
+    const long initial_peak = peak_memory_kb();
+    const int reader = connect_to_port(fixture.port);
+    test::send_all(reader, make_request("read", "1"));
+    const std::string head = read_head(reader); // arrives long before the end of the body
+    CHECK(head.starts_with("HTTP/1.1 200"));
+    CHECK(head.find("Content-Length: " + std::to_string(long_body_size)) != std::string::npos);
+    CHECK(read_bytes(reader, long_body_size) == long_body_size);
+    ::close(reader);
+
+    const int writer = connect_to_port(fixture.port);
+    test::send_all(writer,
+                   "PUT /book/2 HTTP/1.1\r\nX-Request-Id: 2\r\nIdempotency-Key: k\r\nContent-Length: " +
+                       std::to_string(long_body_size) + "\r\n\r\n");
+    std::thread upload([&] { write_filler(writer, long_body_size); });
+    read_body = true;
+    CHECK(status_and_body(test::read_http_message(writer)) == "HTTP/1.1 200 [stored]");
+    upload.join();
+    CHECK(received_size == long_body_size);
+    ::close(writer);
+#if !defined(__SANITIZE_ADDRESS__) && !defined(__SANITIZE_THREAD__)
+    CHECK(peak_memory_kb() - initial_peak < 4096); // kB; a fully buffered body would need at least 32,768
+#else
+    static_cast<void>(initial_peak); // includes the memory of the sanitizers
+#endif
+}
+
+TEST_CASE("long bodies: a response in each framing reaches HTTP/1.0 and HTTP/1.1 clients") {
+    std::string response_framing;
+    const std::size_t size = 200000;
+    raw_endpoint_fixture fixture([&](int fd) {
+        read_head(fd);
+        const std::string ok_line = "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n";
+        if (response_framing == "closed" || response_framing == "cut")
+            test::send_all(fd,
+                           ok_line + (response_framing == "cut" ? "Content-Length: 300000\r\n\r\n" : "\r\n"));
+        else
+            test::send_all(fd, ok_line + "Transfer-Encoding: chunked\r\n\r\n");
+        if (response_framing.starts_with("c") && response_framing != "chunked") {
+            write_filler(fd, size);
+            return;
+        }
+        const std::size_t chunk_size = 40; // many small chunks, whose size lines alone exceed the body buffer
+        for (std::size_t sent = 0; sent < size; sent += chunk_size)
+            test::send_all(fd, "28;name=value\r\n" + std::string(chunk_size, 'v') + "\r\n");
+        if (response_framing == "chunked")
+            test::send_all(fd, "0\r\nTrailer: x\r\n\r\n");
+    });
+    const auto request_body = [&](const std::string &framing_name, const std::string &version) {
+        response_framing = framing_name;
+        const int fd = connect_to_port(fixture.port);
+        test::send_all(fd,
+                       "GET /read/1 HTTP/" + version + "\r\nX-Request-Id: 1\r\nConnection: close\r\n\r\n");
+        const std::string head = read_head(fd);
+        std::string body;
+        std::vector<char> part(65536);
+        for (long count; (count = ::recv(fd, part.data(), part.size(), 0)) > 0;)
+            body.append(part.data(), static_cast<std::size_t>(count));
+        ::close(fd);
+        if (head.find("Transfer-Encoding: chunked") == std::string::npos)
+            return std::to_string(body.size());
+        const bool complete = body.ends_with("\r\n0\r\n\r\n");
+        return std::to_string(std::count(body.begin(), body.end(), 'v')) +
+               (complete ? " chunked" : " chunked, cut");
+    };
+    CHECK(request_body("chunked", "1.1") == "200000 chunked");
+    CHECK(request_body("chunked", "1.0") == "200000");
+    CHECK(request_body("closed", "1.1") == "200000 chunked");
+    CHECK(request_body("cut", "1.1") == "200000"); // of the 300000 in its head
+    CHECK(request_body("broken off", "1.1") == "200000 chunked, cut");
+}
+
+// The request was not executed if the endpoint closes during the body, so the client may retry it. A response
+// to HEAD has no body, even with a large Content-Length.
+TEST_CASE("long bodies: 503 if the endpoint closes during an upload, no body for HEAD") {
+    raw_endpoint_fixture fixture([](int fd) {
+        const std::string head = read_head(fd);
+        if (head.starts_with("HEAD"))
+            test::send_all(fd, "HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n");
+        else
+            read_bytes(fd, 100000);
+    });
+    const int writer = connect_to_port(fixture.port);
+    test::send_all(writer, "PUT /bill/1 HTTP/1.1\r\nX-Request-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    std::thread upload([&] {
+        for (int i = 0; i < 160; ++i)
+            test::send_all(writer, "10000\r\n" + std::string(65536, 'v') + "\r\n");
+        test::send_all(writer, "0\r\n\r\n");
+    });
+    CHECK(read_head(writer).starts_with("HTTP/1.1 503"));
+    upload.join();
+    ::close(writer);
+    const int reader = connect_to_port(fixture.port);
+    test::send_all(reader, "HEAD /read/1 HTTP/1.1\r\nX-Request-Id: 3\r\n\r\nGET /_health HTTP/1.1\r\n\r\n");
+    CHECK(read_head(reader).find("Content-Length: 5000000\r\n") != std::string::npos);
+    CHECK(read_head(reader).starts_with("HTTP/1.1 ")); // the next response follows without a body
+    ::close(reader);
+}
+
+// Clients may take 2 s for a head and may send a request in pieces of any size.
+TEST_CASE("long bodies: an upload in pieces of any size is forwarded completely") {
+    std::string forwarded_head;
+    raw_endpoint_fixture fixture([&](int fd) {
+        forwarded_head = read_head(fd);
+        read_bytes(fd, 150000);
+        test::send_all(fd, ok_response("stored"));
+    });
+    const std::string request =
+        "\r\nPUT http://origin.svc/book/1 HTTP/1.1\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\n"
+        "Content-Length: 150000\r\n\r\n" +
+        std::string(150000, 'v');
+    const int writer = connect_to_port(fixture.port);
+    std::minstd_rand random(3);
+    for (std::size_t sent = 0; sent < request.size();) {
+        const std::size_t size = sent < 200 ? 1 : 1 + random() % 9000;
+        test::send_all(writer, request.substr(sent, size));
+        sent += size;
+        std::this_thread::yield();
+    }
+    CHECK(status_and_body(test::read_http_message(writer)) == "HTTP/1.1 200 [stored]");
+    CHECK(forwarded_head.starts_with("PUT /book/1 HTTP/1.1\r\n"));
+    CHECK(forwarded_head.find("Content-Length: 150000\r\n") != std::string::npos);
+    ::close(writer);
+}
+
+} // namespace harrierpass::proxy
