A long body to an endpoint that hangs has its answer in its client's time

A client's disconnection and a planned stop were not noticed meanwhile. Cause: body_relay::write_window waited up to 30 s in one blocking write, and the request had no deadline before its last byte was written to the endpoint, though its client may have sent that byte to the socket buffers long before. The relay waits for the sink in short steps with the decision, the stop, the deadline, an early response and the client's disconnection in view, and asks once more before the last window, after which the endpoint may execute the request. What ends before is a 503. An endpoint that accepted nothing for a quarter of the latency objective counts as failed, a slow one does not. Evidence: long_body_test.cpp on the code before: three cases fail (no answer within 3 s of a 0.4 s deadline, counted and chunked; none before the kill of a planned stop; 2,000,000 bytes of 2,000,000 passed on after the client had left); two cases that bound the change (a slow client, a pause early in 32 MiB) pass on both.

--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -79,6 +79,8 @@
     bool has_head() const { return step_ != parse_step::head; }
     // The body bytes in the buffer.
     std::string_view body() const { return {buffer_.data() + body_start_, body_size_}; }
+    // Whether the end of the message was received.
+    bool is_complete() const { return step_ == parse_step::done; }
     // The bytes in the buffer after the message.
     std::string_view pipelined_bytes() const { return {buffer_.data() + consumed_, filled_ - consumed_}; }
 
--- a/src/net/sockets.cpp
+++ b/src/net/sockets.cpp
@@ -16,8 +16,7 @@
 namespace harrierpass {
 namespace {
 
-constexpr double no_buffer_retry = 0.002; // s between attempts to write while the system has no buffer
-constexpr int listen_backlog = 1024;      // connections
+constexpr int listen_backlog = 1024; // connections
 
 void set_flag(int fd, int level, int name) {
     const int enabled = 1;
@@ -170,6 +169,10 @@
     return connection;
 }
 
+bool io_result::lacks_buffer() const {
+    return error == ENOBUFS || error == ENOMEM;
+}
+
 io_result write_some(const tcp_socket &connection, std::string_view &head, std::string_view &body) {
     iovec parts[2] = {{const_cast<char *>(head.data()), head.size()},
                       {const_cast<char *>(body.data()), body.size()}};
@@ -194,14 +197,11 @@
             return false;
         if (written.status == io_status::progressed)
             continue;
-        // If the system has no buffers, the socket itself may be writable, and polling it would return at
-        // once.
-        const bool no_buffer = written.error == ENOBUFS || written.error == ENOMEM;
         pollfd writable{connection.get(), POLLOUT, 0};
         const double left = deadline - steady_now();
         if (left <= 0)
             return false;
-        if (no_buffer)
+        if (written.lacks_buffer())
             wait_on({}, std::min(no_buffer_retry, left));
         else
             wait_on({&writable, 1}, left);
@@ -254,6 +254,21 @@
     connection.close();
 }
 
+std::optional<std::size_t> receive_buffer_size(const tcp_socket &connection) {
+    int size = 0;
+    socklen_t length = sizeof size;
+    if (::getsockopt(connection.get(), SOL_SOCKET, SO_RCVBUF, &size, &length) != 0 || size <= 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(size);
+}
+
+// A wake-up may end the first check.
+bool peer_has_disconnected(const tcp_socket &connection) {
+    pollfd hangup{connection.get(), POLLRDHUP, 0};
+    const int ready = wait_on({&hangup, 1}, 0);
+    return ready > 0 || (ready < 0 && wait_on({&hangup, 1}, 0) > 0);
+}
+
 peek_result peek(const tcp_socket &connection) {
     char byte;
     const auto received = ::recv(connection.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/net/sockets.hpp
+++ b/src/net/sockets.hpp
@@ -84,8 +84,14 @@
     io_status status = io_status::failed;
     std::size_t size = 0; // bytes read or written; 0 unless `progressed`
     int error = 0;        // an errno if `would_block` or `failed`
+
+    // Whether the system has no buffers. The socket may be writable then, so polling it would return at once.
+    bool lacks_buffer() const;
 };
 
+// Seconds between two attempts to write while the system has no buffers.
+inline constexpr double no_buffer_retry = 0.002;
+
 // Writes as many bytes as the socket accepts now, the head first, and removes them from `head` and `body`.
 [[nodiscard]] io_result write_some(const tcp_socket &connection, std::string_view &head,
                                    std::string_view &body);
@@ -104,6 +110,13 @@
 // reset the connection and destroy the bytes in transit to the peer.
 void close_gracefully(tcp_socket &connection, double limit, std::size_t max_dropped);
 
+// The most bytes that the system keeps of a connection before they are read; nothing if it is unknown.
+std::optional<std::size_t> receive_buffer_size(const tcp_socket &connection);
+
+// Whether the peer has closed the connection or its sending direction, even if bytes of it are unread. Does
+// not wait.
+bool peer_has_disconnected(const tcp_socket &connection);
+
 // The state of the receiving direction.
 enum class peek_result { empty, data, closed, reset };
 
--- a/src/proxy/client/body_relay.hpp
+++ b/src/proxy/client/body_relay.hpp
@@ -26,28 +26,37 @@
 
 // Time limits of a relay.
 struct relay_limits {
-    double source_timeout;   // s without data from the source
-    double source_rate = 0;  // bytes/s; if not 0, source_timeout is for the whole body and grows at this rate
-    double sink_timeout;     // s for the sink to accept one window of the body
-    double deadline = 1e18;  // Unix time, s, on the clock of `now`
-    bool watch_sink = false; // data from the sink, such as an early response, ends the relay
+    double source_timeout;  // s without data from the source
+    double source_rate = 0; // bytes/s; if not 0, source_timeout is for the whole body and grows at this rate
+    double sink_timeout;    // s for the sink to accept one window of the body
+    double sink_stall_limit = 1e18; // s without progress after which a sink at the deadline has stalled
+    bool carries_request = false;   // ends early if the sink responds or the source disconnects
+};
+
+// What a relay asks its owner, in the thread of the relay. Times are Unix times in seconds.
+struct relay_callbacks {
+    std::function<double()> now;
+    std::function<double()> deadline;   // time by which the relay must end; may change between two calls
+    std::function<bool()> is_cancelled; // asked before each wait, and before the end of a request is written
 };
 
 // How a relay ended.
 enum class relay_result : std::uint8_t {
     complete,
-    source_truncated, // the source closed before the end of the body
-    source_malformed, // the source sent an invalid body
-    source_slow,      // the source exceeded its time limit
-    sink_broken,      // the sink accepts no more data
-    sink_responded,   // the sink sent data; only with watch_sink
+    source_truncated,    // the source closed before the end of the body
+    source_malformed,    // the source sent an invalid body
+    source_slow,         // the source exceeded its time limit
+    source_disconnected, // nobody awaits the response any more; only with carries_request
+    sink_broken,         // the connection to the sink failed
+    sink_stalled,        // the sink accepted no data within its time limit
+    sink_responded,      // the sink sent data; only with carries_request
+    deadline_passed,
     cancelled
 };
 
-// Relays the rest of the body of `message`, which holds the head and the first bytes of the body. Calls
-// `cancelled` after each wait.
+// Relays the rest of the body of `message`, which holds the head and the first bytes of the body. With any
+// result but `complete` the last byte of the body was not written.
 relay_result relay_body(http_reader &message, const tcp_socket &source, const tcp_socket &sink,
-                        framing body_framing, const relay_limits &limits, const std::function<double()> &now,
-                        const std::function<bool()> &cancelled);
+                        framing body_framing, const relay_limits &limits, const relay_callbacks &callbacks);
 
 } // namespace harrierpass::proxy
--- a/src/proxy/client/response_writer.cpp
+++ b/src/proxy/client/response_writer.cpp
@@ -144,12 +144,12 @@
     request_.response_status = 200;
     if (!write_all(request_.client.socket, streamed_head(response, body_framing), {}, sink_pause_limit))
         return finish_forwarding(relay_result::sink_broken, body_framing);
-    const double deadline = request_.stop_deadline();
-    const relay_limits limits = {
-        .source_timeout = source_pause_limit, .sink_timeout = sink_pause_limit, .deadline = deadline};
-    const auto relayed = relay_body(
-        response, upstream, request_.client.socket, body_framing, limits, [&] { return routing.now(); },
-        [&] { return routing.now() >= request_.stop_deadline(); });
+    const relay_limits limits = {.source_timeout = source_pause_limit, .sink_timeout = sink_pause_limit};
+    const relay_callbacks callbacks = {.now = [&] { return routing.now(); },
+                                       .deadline = [&] { return request_.stop_deadline(); },
+                                       .is_cancelled = [] { return false; }};
+    const auto relayed =
+        relay_body(response, upstream, request_.client.socket, body_framing, limits, callbacks);
     return finish_forwarding(relayed, body_framing);
 }
 
@@ -168,16 +168,15 @@
         return forward_result::complete;
     }
     request_.keep_connection = false;
-    const bool client_failed = relayed == relay_result::sink_broken;
-    const bool stopped = request_.context.routing.now() >= request_.stop_deadline();
-    if (body_framing == framing::by_close && (!client_failed || stopped))
+    const bool client_failed = relayed == relay_result::sink_broken || relayed == relay_result::sink_stalled;
+    if (body_framing == framing::by_close && !client_failed)
         reset_on_close(request_.client.socket);
     if (client_failed) {
         request_.context.counts.add(counter::truncated_responses);
         request_.client.socket.close();
         return forward_result::client_left;
     }
-    if (relayed == relay_result::cancelled)
+    if (relayed == relay_result::deadline_passed)
         return forward_result::stopped;
     return relayed == relay_result::source_slow ? forward_result::upstream_stalled
                                                 : forward_result::upstream_reset;
--- a/src/proxy/request/active_request.cpp
+++ b/src/proxy/request/active_request.cpp
@@ -13,6 +13,11 @@
     return std::min(deadline, stop_deadline());
 }
 
+void active_request::extend_deadline(double now) {
+    deadline = now + client_timeout;
+    guard.set_deadline(deadline);
+}
+
 void active_request::on_client_left() {
     client.socket.close();
     guard.on_client_disconnected();
@@ -21,8 +26,7 @@
 }
 
 bool active_request::detect_client_left() {
-    pollfd hangup{client.socket.get(), POLLRDHUP, 0};
-    if (client_has_left() || wait_on({&hangup, 1}, 0) <= 0)
+    if (client_has_left() || !peer_has_disconnected(client.socket))
         return false;
     on_client_left();
     return true;
--- a/src/proxy/request/active_request.hpp
+++ b/src/proxy/request/active_request.hpp
@@ -22,6 +22,8 @@
     double stop_deadline() const { return context.respond_by.load(); }
     // The client's deadline or the planned stop's, whichever is earlier.
     double effective_deadline() const;
+    // The client had not sent the whole body at `now`, so that its timeout starts then at the earliest.
+    void extend_deadline(double now);
     // Longest wait, in seconds, that a rejection may advise.
     double max_retry_after() const { return settings->router.constraints.max_retry_after; }
     // Settings of the request's class; valid once `settings` and `class_id` are set.
@@ -63,7 +65,7 @@
     // Time limits.
     double received_at = 0;          // time at which the request was read; 0: not read yet
     double client_timeout = 0;       // seconds that the client waits after the last byte of its request
-    double deadline = 0;             // time at which the client stops waiting; 0: not known yet
+    double deadline = 0;             // earliest time at which the client stops waiting; 0: not known yet
     double response_stall_limit = 0; // seconds without progress after which a started response is stalled
 
     // Progress and result.
--- a/src/proxy/request/request_guard.hpp
+++ b/src/proxy/request/request_guard.hpp
@@ -56,7 +56,7 @@
     // Reports that the request has been read: a response is required from now on. `id` must outlive the
     // guard.
     void request_read(std::string_view id, const request_class &settings, double deadline);
-    // Replaces the deadline of a request with a streamed body, which counts from the end of the body.
+    // Replaces the deadline of a request whose streamed body is not complete: it counts from the last byte.
     void set_deadline(double deadline) { deadline_ = deadline; }
     // Returns whether an attempt may start now. `forwarded_timeout`: seconds that its endpoint is given.
     bool may_start_attempt(double now, double forwarded_timeout);
--- a/src/proxy/request/request_session.cpp
+++ b/src/proxy/request/request_session.cpp
@@ -167,9 +167,8 @@
 // Sets the class by the configuration that the request was parsed with. A response is required from here on.
 void request_session::set_request_class(const parsed_request &parsed) {
     request_.class_id = parsed.info.class_id;
-    const double upload_time = request_.streams_body ? max_upload_time : 0;
     request_.guard.request_read(request_.id, request_.class_settings(),
-                                request_.received_at + parsed.client_timeout + upload_time);
+                                request_.received_at + parsed.client_timeout);
 }
 
 // Returns empty if the request may be submitted to the router. Endpoints cannot distinguish two requests with
@@ -215,14 +214,15 @@
     return nullptr;
 }
 
+// The router cannot know how long a streamed body takes; this session ends the request at its deadline.
 void request_session::set_deadlines(parsed_request &parsed) {
     const double upload_time = request_.streams_body ? max_upload_time : 0;
-    const double client_deadline = request_.received_at + parsed.client_timeout + upload_time;
+    const double client_deadline = request_.received_at + parsed.client_timeout;
     request_.client_timeout = parsed.client_timeout;
     request_.deadline = std::min(client_deadline, request_.stop_deadline());
     request_.response_stall_limit = request_.class_settings().latency_objective * response_stall_share;
     parsed.info.streams_body = request_.streams_body;
-    parsed.info.deadline = request_.deadline;
+    parsed.info.deadline = std::min(client_deadline + upload_time, request_.stop_deadline());
 }
 
 close_decision request_session::route(http_reader &message) {
@@ -233,6 +233,8 @@
         const auto type = decision.type;
         if (type == decision_type::reject || type == decision_type::fail)
             return finish_without_endpoint_response(decision);
+        if (request_.streams_body)
+            extend_deadline_if_incomplete(request_, message);
         if (routing.now() >= request_.effective_deadline() + final_decision_margin)
             return handle_expired_deadline();
         if (type == decision_type::queued) {
--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -66,8 +66,9 @@
 }
 
 attempt_result upstream_attempt::send() {
-    const double time_left =
-        request_.streams_body ? request_.client_timeout : request_.deadline - context_.routing.now();
+    if (request_.streams_body)
+        extend_deadline_if_incomplete(request_, message_);
+    const double time_left = request_.deadline - context_.routing.now();
     const std::string head_text = forwarded_request(message_, time_left, !request_.streams_body);
     string_view head = head_text;
     string_view body = request_.streams_body ? string_view{} : message_.body();
@@ -87,7 +88,7 @@
         !write_all(connection_.socket, head, body, write.deadline - context_.routing.now()))
         return {outcome::connect_error, upstream_close_reason::write_failed};
     if (request_.streams_body)
-        return body_upload(request_).run(connection_.socket, message_);
+        return body_upload(request_, message_).run(connection_.socket);
     context_.metrics.attempt_sent();
     return {outcome::timed_out, upstream_close_reason::timed_out};
 }
--- a/src/proxy/upstream/upstream_close_reason.hpp
+++ b/src/proxy/upstream/upstream_close_reason.hpp
@@ -10,14 +10,14 @@
 
 // In the order of upstream_close_reason_texts.
 enum class upstream_close_reason : std::uint8_t {
-    client_left,         // the client disconnected before the attempt, or during a long response
+    client_left,         // the client disconnected before the attempt, or during a long body or response
     client_body_failed,  // the client's long body was truncated, malformed or too slow
-    out_of_time,         // the client's deadline passed during the connect
+    out_of_time,         // the client's deadline passed during the connect or a long body
     local_shortage,      // this machine lacks resources for a connection
     connect_failed,      // no connection was established within the connect timeout
     disabled,            // an operator disabled the endpoint
     outdated,            // the router's decision changed during the connect
-    write_failed,        // the connection broke before the last byte of the request was written
+    write_failed,        // the connection broke or stalled before the last byte of the request was written
     timed_out,           // no response by the deadline
     canceled,            // the router canceled the attempt
     stalled,             // a response started and made no further progress
--- a/tests/proxy/long_body_test.cpp
+++ b/tests/proxy/long_body_test.cpp
@@ -3,7 +3,11 @@
 // buffer.
 #include "support/stand.hpp"
 
+#include "net/threads.hpp"
+
+#include <netinet/tcp.h>
 #include <random>
+#include <sys/time.h>
 
 namespace harrierpass::proxy {
 namespace {
@@ -22,14 +26,25 @@
     return 0;
 }
 
+// Limits the bytes that the system takes for the endpoint while it reads nothing. With small segments the
+// system also gives the sender a small buffer.
+void use_small_buffers(int listening_socket) {
+    const int receive_buffer_size = 16384; // bytes
+    const int segment_size = 536;          // bytes
+    ::setsockopt(listening_socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer_size, sizeof receive_buffer_size);
+    ::setsockopt(listening_socket, IPPROTO_TCP, TCP_MAXSEG, &segment_size, sizeof segment_size);
+}
+
 // An endpoint that passes each accepted connection to a function, which reads and writes its bytes.
 class raw_endpoint {
 public:
     raw_endpoint(const raw_endpoint &) = delete;
     raw_endpoint &operator=(const raw_endpoint &) = delete;
-    explicit raw_endpoint(std::function<void(int fd)> handle_connection)
+    explicit raw_endpoint(std::function<void(int fd)> handle_connection, bool has_small_buffers = false)
         : handle_connection_(std::move(handle_connection)),
           listening_socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        if (has_small_buffers)
+            use_small_buffers(listening_socket_);
         auto bound_address = test::loopback_address(0);
         socklen_t size = sizeof bound_address;
         if (::bind(listening_socket_, reinterpret_cast<sockaddr *>(&bound_address), size) != 0 ||
@@ -69,8 +84,10 @@
 
 // A proxy with one raw endpoint. Discovery sends no list.
 struct raw_endpoint_fixture {
-    explicit raw_endpoint_fixture(std::function<void(int fd)> handle_connection)
-        : fixture({.discovery_silent = true, .start_proxy = false}), server(std::move(handle_connection)) {
+    explicit raw_endpoint_fixture(std::function<void(int fd)> handle_connection,
+                                  bool has_small_buffers = false, int request_timeout_ms = 3000)
+        : fixture({.discovery_silent = true, .request_timeout_ms = request_timeout_ms, .start_proxy = false}),
+          server(std::move(handle_connection), has_small_buffers) {
         std::string config = fixture.config;
         const auto begin = config.find(R"("known":{)"), end = config.find(R"(,"settings")");
         config.replace(begin, end - begin, R"("known":null)");
@@ -257,4 +274,172 @@
     ::close(writer);
 }
 
+// ---- Uploads to an endpoint that hangs
+
+namespace {
+
+// More than the buffers between proxy and endpoint take, less than those between client and proxy take.
+constexpr std::size_t upload_size = 2000000;     // bytes
+constexpr std::size_t read_before_hang = 100000; // bytes; more than the proxy holds itself
+constexpr double lateness_limit = 0.5; // s after its deadline within which a client needs its response
+
+// An endpoint that reads the beginning of a request's body and then hangs until go_on().
+struct hung_endpoint {
+    void handle(int fd) {
+        head = read_head(fd);
+        received_size = read_bytes(fd, read_before_hang);
+        hangs = true;
+        while (!goes_on)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        received_size += read_bytes(fd, long_body_size);
+        ended = true;
+    }
+    void wait_until_hung() const { wait_for(hangs); }
+    // Lets the endpoint read what was sent; returns the number of body bytes, including the framing of
+    // chunks.
+    std::size_t go_on() {
+        goes_on = true;
+        wait_for(ended);
+        return received_size;
+    }
+    static void wait_for(const std::atomic<bool> &flag) {
+        while (!flag)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+    std::string head;
+    std::atomic<std::size_t> received_size = 0;
+    std::atomic<bool> hangs = false, goes_on = false, ended = false;
+};
+
+// A proxy in front of a hung endpoint.
+struct hung_endpoint_fixture {
+    explicit hung_endpoint_fixture(int request_timeout_ms = 3000)
+        : proxy([this](int fd) { endpoint.handle(fd); }, true, request_timeout_ms) {}
+    ~hung_endpoint_fixture() { endpoint.goes_on = true; }
+    hung_endpoint endpoint;
+    raw_endpoint_fixture proxy;
+};
+
+std::string upload_head(const std::string &deadline, const std::string &framing_field) {
+    return "PUT /book/1 HTTP/1.1\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\nX-Deadline: " + deadline +
+           "\r\n" + framing_field + "\r\n\r\n";
+}
+std::string counted_upload(const std::string &deadline, std::size_t size = upload_size) {
+    return upload_head(deadline, "Content-Length: " + std::to_string(size)) + std::string(size, 'v');
+}
+std::string chunked_upload(const std::string &deadline) {
+    std::ostringstream size;
+    size << std::hex << upload_size;
+    return upload_head(deadline, "Transfer-Encoding: chunked") + size.str() + "\r\n" +
+           std::string(upload_size, 'v') + "\r\n0\r\n\r\n";
+}
+
+// A client whose reads end after some seconds, so that a missing response fails the test instead of blocking
+// it.
+tcp_socket connect_with_time_limit(int port) {
+    tcp_socket client(connect_to_port(port));
+    const timeval limit{3, 0};
+    ::setsockopt(client.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    ::setsockopt(client.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+    return client;
+}
+
+} // namespace
+
+// A client that has sent its whole request must have its response in time: the endpoint hangs inside the
+// body, most of which waits in socket buffers.
+TEST_CASE("long bodies: an upload to an endpoint that hangs is rejected at its client's deadline") {
+    constexpr double client_timeout = 0.4; // s
+    for (const std::string &request : {counted_upload("400m"), chunked_upload("400m")}) {
+        CAPTURE(request.substr(0, request.find("\r\n\r\n")));
+        hung_endpoint_fixture fixture;
+        const tcp_socket client = connect_with_time_limit(fixture.proxy.port);
+        const double started = steady_now();
+        test::send_all(client.get(), request);
+        const double sent = steady_now();
+        REQUIRE(sent < started + client_timeout); // it waits in socket buffers
+        const std::string response = test::read_http_message(client.get());
+        const double response_time = steady_now() - sent;
+        CHECK(response.starts_with("HTTP/1.1 503"));
+        CHECK(response.find("\r\nRetry-After: ") != std::string::npos);
+        CHECK(response_time < client_timeout + lateness_limit);
+        CHECK(fixture.endpoint.go_on() < upload_size); // it was not executed
+        CHECK(fixture.proxy.proxy->counts().value(counter::attempts_connect_error) == 1);
+    }
+}
+
+// A planned stop must end before the kill: it begins while an upload waits for an endpoint that hangs.
+TEST_CASE("long bodies: an upload to an endpoint that hangs is rejected before the kill of a planned stop") {
+    constexpr int longest_deadline_ms = 300;
+    constexpr double earliest_kill = 1.0; // s after the signal
+    hung_endpoint_fixture fixture(longest_deadline_ms);
+    const tcp_socket client = connect_with_time_limit(fixture.proxy.port);
+    test::send_all(client.get(), counted_upload("2500m")); // longer than the stop
+    fixture.endpoint.wait_until_hung();
+    const double stopped = steady_now();
+    std::atomic<double> stop_time = 0;
+    std::thread stop([&] {
+        fixture.proxy.proxy->stop();
+        stop_time = steady_now() - stopped;
+    });
+    const std::string response = test::read_http_message(client.get());
+    const double response_time = steady_now() - stopped;
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response_time < earliest_kill);
+    CHECK(fixture.endpoint.go_on() < upload_size);
+    stop.join();
+    CHECK(stop_time.load() < earliest_kill);
+}
+
+// No endpoint may start to execute a request whose client has left: it disconnects while the endpoint hangs.
+TEST_CASE("long bodies: an upload is not completed after its client has disconnected") {
+    constexpr double detection_limit = 1; // s
+    hung_endpoint_fixture fixture;
+    {
+        const tcp_socket client = connect_with_time_limit(fixture.proxy.port);
+        test::send_all(client.get(), counted_upload("2500m"));
+        fixture.endpoint.wait_until_hung();
+    }
+    const auto &counts = fixture.proxy.proxy->counts();
+    const double disconnected = steady_now();
+    while (counts.value(counter::client_disconnects) == 0 && steady_now() < disconnected + detection_limit)
+        std::this_thread::yield();
+    CHECK(counts.value(counter::client_disconnects) == 1);
+    CHECK(fixture.endpoint.go_on() < upload_size);
+}
+
+// A client's time starts with its last byte, however long its body takes.
+TEST_CASE("long bodies: a slow client's deadline counts from its last byte") {
+    std::string forwarded_head;
+    raw_endpoint_fixture fixture([&](int fd) {
+        forwarded_head = read_head(fd);
+        read_bytes(fd, upload_size);
+        test::send_all(fd, ok_response("stored"));
+    });
+    const tcp_socket client = connect_with_time_limit(fixture.port);
+    const std::string request = counted_upload("300m");
+    constexpr std::size_t part_count = 6;
+    const std::size_t part_size = request.size() / part_count + 1;
+    for (std::size_t sent = 0; sent < request.size(); sent += part_size) {
+        test::send_all(client.get(), request.substr(sent, part_size));
+        std::this_thread::sleep_for(std::chrono::milliseconds(150));
+    }
+    CHECK(status_and_body(test::read_http_message(client.get())) == "HTTP/1.1 200 [stored]");
+    CHECK(forwarded_head.find("\r\nX-Deadline: ") != std::string::npos);
+}
+
+// While more of a body is missing than socket buffers hold, its client cannot have sent the last byte.
+TEST_CASE("long bodies: a pause of the endpoint early in a very long upload does not end it") {
+    raw_endpoint_fixture fixture([](int fd) {
+        read_head(fd);
+        std::this_thread::sleep_for(std::chrono::milliseconds(900));
+        read_bytes(fd, long_body_size);
+        test::send_all(fd, ok_response("stored"));
+    });
+    const tcp_socket client = connect_with_time_limit(fixture.port);
+    test::send_all(client.get(), counted_upload("500m", long_body_size));
+    CHECK(status_and_body(test::read_http_message(client.get())) == "HTTP/1.1 200 [stored]");
+}
+
 } // namespace harrierpass::proxy
--- a/tests/proxy/operators_test.cpp
+++ b/tests/proxy/operators_test.cpp
@@ -3,8 +3,6 @@
 #include "support/index_literals.hpp"
 #include "support/stand.hpp"
 
-#include <random>
-
 namespace harrierpass::proxy {
 
 namespace {
