Discovery: a configuration and the news of it are handed over in one step

Cause: reconfigure() set the configuration under a lock and a flag beside it. The polling thread cleared the flag, closed its connection and only then took the configuration: a second reconfigure() in between left the flag set and the pointer null. Change: the flag is gone; the polling thread looks at the pointer and takes it under the lock in one step, and closes the connection after it. Nothing can come between, whatever the timing.

--- a/src/proxy/discovery/discovery_client.cpp
+++ b/src/proxy/discovery/discovery_client.cpp
@@ -131,11 +131,8 @@
 void discovery_client::reconfigure(std::shared_ptr<const configuration> next) {
     if (!parse_address(next->discovery_address))
         throw parse_error{invalid_address};
-    {
-        const std::lock_guard guard(configuration_lock_);
-        pending_ = std::move(next);
-    }
-    reconfigured_.store(true);
+    const std::lock_guard guard(configuration_lock_);
+    pending_ = std::move(next);
 }
 
 std::shared_ptr<const configuration> discovery_client::pending_configuration() {
@@ -143,12 +140,16 @@
     return pending_ ? pending_ : awaiting_list_;
 }
 
+bool discovery_client::is_reconfigured() {
+    const std::lock_guard guard(configuration_lock_);
+    return pending_ != nullptr;
+}
+
 void discovery_client::run(const std::function<bool()> &stopped) {
-    const auto interrupted = [&] { return stopped() || reconfigured_.load(); };
+    const auto interrupted = [&] { return stopped() || is_reconfigured(); };
     start_schedule();
     while (!stopped()) {
-        if (reconfigured_.exchange(false))
-            use_pending_configuration();
+        use_pending_configuration();
         if (poll_requested_.exchange(false))
             schedule_->request_poll(dispatcher_.now());
         save_snapshot(false);
@@ -172,13 +173,14 @@
               " first-call-in=", schedule_->next_poll_at() - dispatcher_.now());
 }
 
-// Closes the connection: a watch at the old address would not get a response any more.
 void discovery_client::use_pending_configuration() {
-    close_connection("moved");
     {
         const std::lock_guard guard(configuration_lock_);
+        if (!pending_)
+            return;
         configuration_ = awaiting_list_ = std::exchange(pending_, nullptr);
     }
+    close_connection("moved"); // a watch at the old address would not get a response any more
     address_ = parse_address(configuration_->discovery_address);
     spare_socket_.close(); // the new address may be of another family
     schedule_->on_settings_changed(dispatcher_.now(), configuration_->poll);
@@ -223,7 +225,7 @@
     if (response.rejected)
         response.retry_after = parse_retry_after(head.header("Retry-After"));
     if (!(response.list || response.rejected) || !head.keeps_alive())
-        close_connection(response.list ? "server_closes" : reconfigured_ ? "moved" : "list_lost");
+        close_connection(response.list ? "server_closes" : is_reconfigured() ? "moved" : "list_lost");
     return response;
 }
 
--- a/src/proxy/discovery/discovery_client.hpp
+++ b/src/proxy/discovery/discovery_client.hpp
@@ -93,7 +93,10 @@
 
     // Starts the poll schedule from the known list, if any.
     void start_schedule();
-    // Switches to the configuration passed to reconfigure(), and to its service.
+    // Whether a configuration was passed to reconfigure() that the polling thread does not use yet.
+    [[nodiscard]] bool is_reconfigured();
+    // Switches to the configuration passed to reconfigure(), and to its service. Has no effect if there is
+    // none.
     void use_pending_configuration();
     // Sends the poll that is due and handles its result. The wait ends early if `interrupted` returns true.
     void poll_once(const std::function<bool()> &interrupted);
@@ -135,7 +138,8 @@
     counters &counters_;
     log &log_;
 
-    // Protects pending_ and awaiting_list_. The polling thread alone writes awaiting_list_, and reads it
+    // Protects pending_, which says by itself whether there is a new configuration, and awaiting_list_. The
+    // polling thread alone writes awaiting_list_, and reads it
     // without the lock.
     std::mutex configuration_lock_;
     std::shared_ptr<const configuration> pending_;       // not yet used by the polling thread; may be null
@@ -160,7 +164,6 @@
 
     std::atomic<bool> poll_requested_ = true;
     std::atomic<bool> ready_ = false;
-    std::atomic<bool> reconfigured_ = false; // pending_ is set
 };
 
 } // namespace harrierpass::proxy
