Planned stop: the pending configuration is read before the one in force

Cause: the schedule of a stop takes the earlier kill time of the configuration in force and of a pending one. Read in this order, one that came into force between the two reads was counted in neither, so that the stop followed the longer deadlines of the configuration before. The order is not forced by a test: nothing happens between the two reads that a test could hold up.

--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -244,10 +244,11 @@
 }
 
 // Takes the earlier kill time of the configuration in force and of a pending one that waits for its endpoint
-// list: the platform may apply either.
+// list: the platform may apply either. The pending one is read first: between the two it may come into force.
 stop_schedule service::schedule() {
+    const auto pending = discovery_.pending_configuration();
     double longest = longest_deadline(dispatcher_.configuration_in_force()->request_timeouts);
-    if (const auto pending = discovery_.pending_configuration())
+    if (pending)
         longest = std::min(longest, longest_deadline(pending->request_timeouts));
     return stop_schedule_for(longest);
 }
