--- a/tests/proxy/discovery_client_test.cpp
+++ b/tests/proxy/discovery_client_test.cpp
@@ -37,6 +37,8 @@
         : initial(make_configuration()), output(&hook), logger(output, log_level::info), routing(initial),
           upstreams(initial->connect_timeout, initial->upstream_idle_timeout, 64, counts, logger),
           client(routing, upstreams, counts, logger) {}
+    polling_client(const polling_client &) = delete;
+    polling_client &operator=(const polling_client &) = delete;
     ~polling_client() {
         stopped = true;
         if (thread)
--- a/tests/proxy/long_body_test.cpp
+++ b/tests/proxy/long_body_test.cpp
@@ -316,6 +316,8 @@
 struct hung_endpoint_fixture {
     explicit hung_endpoint_fixture(int request_timeout_ms = 3000)
         : proxy([this](int fd) { endpoint.handle(fd); }, true, request_timeout_ms) {}
+    hung_endpoint_fixture(const hung_endpoint_fixture &) = delete;
+    hung_endpoint_fixture &operator=(const hung_endpoint_fixture &) = delete;
     ~hung_endpoint_fixture() { endpoint.goes_on = true; }
     hung_endpoint endpoint;
     raw_endpoint_fixture proxy;
