Body relay: cases on pairs of sockets for its ends

Cause: the last look before the end of a request, an early response to an unread request, a stalled and a slow sink, and a deadline that moves during a wait were reached by none of the cases on the whole proxy in a forced order. Change: tests/proxy/body_relay_test.cpp forces each on pairs of sockets.

--- /dev/null
+++ b/tests/proxy/body_relay_test.cpp
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+// The relay of long bodies on pairs of sockets, whose buffers and ends the tests control.
+#include "proxy/client/body_relay.hpp"
+
+#include "net/threads.hpp"
+
+#include <array>
+#include <doctest/doctest.h>
+#include <string>
+#include <sys/socket.h>
+#include <vector>
+
+namespace harrierpass::proxy {
+namespace {
+
+constexpr double time_limit = 0.1;          // s until the deadline of a relay
+constexpr std::size_t buffer_size = 65536;  // bytes
+constexpr std::size_t body_size = 100000;   // bytes
+constexpr std::size_t missing_size = 60000; // bytes of the body that the message does not contain yet
+
+struct socket_pair {
+    socket_pair() {
+        std::array<int, 2> ends{};
+        REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends.data()) == 0);
+        relay_end = tcp_socket(ends[0]);
+        peer_end = tcp_socket(ends[1]);
+    }
+    // Writes until the relay's socket accepts no more.
+    void fill() const {
+        const std::string filling(4096, 'f');
+        for (const std::size_t size : {filling.size(), std::size_t{1}})
+            while (::send(relay_end.get(), filling.data(), size, MSG_DONTWAIT) > 0) {
+            }
+    }
+    void send_from_peer(const std::string &text) const {
+        REQUIRE(::send(peer_end.get(), text.data(), text.size(), 0) == static_cast<ssize_t>(text.size()));
+    }
+    // Returns how many bytes the peer can read now.
+    std::size_t readable_size() const {
+        std::vector<char> part(buffer_size);
+        std::size_t total = 0;
+        for (ssize_t size = 0; (size = ::recv(peer_end.get(), part.data(), part.size(), MSG_DONTWAIT)) > 0;)
+            total += static_cast<std::size_t>(size);
+        return total;
+    }
+    tcp_socket relay_end;
+    tcp_socket peer_end;
+};
+
+// A request whose head and first part have been read, and the two connections of its relay.
+struct relay_fixture {
+    relay_fixture() : message(buffer, http_reader::message_kind::request) {
+        message.stream_body(max_streamed_body);
+        const std::string text = "PUT /book/1 HTTP/1.1\r\nContent-Length: " + std::to_string(body_size) +
+                                 "\r\n\r\n" + std::string(body_size - missing_size, 'v');
+        std::copy(text.begin(), text.end(), message.free_space().begin());
+        REQUIRE(message.received(text.size()) == http_reader::state::incomplete);
+    }
+    relay_result run() {
+        const relay_callbacks callbacks = {.now = steady_now,
+                                           .deadline = [this] { return deadline; },
+                                           .is_cancelled = [this] { return is_cancelled(); }};
+        return relay_body(message, source.relay_end, sink.relay_end, framing::counted, limits, callbacks);
+    }
+
+    std::vector<char> buffer = std::vector<char>(buffer_size);
+    http_reader message;
+    socket_pair source, sink;
+    relay_limits limits = {.source_timeout = 5, .sink_timeout = 5, .carries_request = true};
+    double deadline = steady_now() + time_limit;
+    std::function<bool()> is_cancelled = [] { return false; };
+};
+
+} // namespace
+
+// A request must not reach its endpoint completely once nobody awaits the response: its client sends the last
+// byte and disconnects before the relay reads it.
+TEST_CASE("body relay: the end of a request is not written after its source has disconnected") {
+    relay_fixture relay;
+    relay.source.send_from_peer(std::string(missing_size, 'v'));
+    ::shutdown(relay.source.peer_end.get(), SHUT_WR);
+    CHECK(relay.run() == relay_result::source_disconnected);
+    CHECK(relay.sink.readable_size() == body_size - missing_size);
+}
+
+// The same for a request that is cancelled in the last moment.
+TEST_CASE("body relay: the end of a request is not written after it was cancelled") {
+    relay_fixture relay;
+    relay.source.send_from_peer(std::string(missing_size, 'v'));
+    relay.is_cancelled = [&] { return relay.message.is_complete(); };
+    CHECK(relay.run() == relay_result::cancelled);
+    CHECK(relay.sink.readable_size() == body_size - missing_size);
+}
+
+// An endpoint may reject a request without reading its body.
+TEST_CASE("body relay: a response ends a request that the sink does not read") {
+    relay_fixture relay;
+    relay.sink.fill();
+    relay.sink.send_from_peer("HTTP/1.1 503 ");
+    CHECK(relay.run() == relay_result::sink_responded);
+}
+
+// Only a sink that accepted nothing for some time is taken for one that hangs.
+TEST_CASE("body relay: a sink without progress at the deadline has stalled if it made none for long enough") {
+    relay_fixture stalled, slow;
+    stalled.limits.sink_stall_limit = time_limit / 2;
+    slow.limits.sink_stall_limit = time_limit * 20;
+    for (auto *relay : {&stalled, &slow})
+        relay->sink.fill();
+    CHECK(stalled.run() == relay_result::sink_stalled);
+    CHECK(slow.run() == relay_result::deadline_passed);
+}
+
+// A planned stop sets the deadline of a response while its client reads nothing.
+TEST_CASE("body relay: a deadline that is set while the sink accepts nothing ends the relay") {
+    relay_fixture relay;
+    relay.limits.carries_request = false;
+    relay.sink.fill();
+    const double started = steady_now();
+    relay.deadline = started + relay.limits.sink_timeout * 2;
+    relay.is_cancelled = [&] {
+        if (steady_now() > started + time_limit)
+            relay.deadline = started + time_limit;
+        return false;
+    };
+    CHECK(relay.run() == relay_result::deadline_passed);
+    CHECK(steady_now() < started + relay.limits.sink_timeout / 2);
+}
+
+} // namespace harrierpass::proxy
