Log: attempts that close their connection early and requests sent in vain, at level info

Cause: the report's logs name a closed connection but neither its request, nor how much of a response had come, nor the refusal. Change: execution-end and request-end are written at level info for these; new fields received, silent and left; executions_stalled counts responses that were given up for their silence.

--- a/src/base/counters.cpp
+++ b/src/base/counters.cpp
@@ -27,6 +27,7 @@
     "executions_canceled",
     "executions_miss",
     "executions_spoilt",
+    "executions_stalled",
     "probes_sent",
     "probes_answered",
     "lists_received",
--- a/src/base/counters.hpp
+++ b/src/base/counters.hpp
@@ -30,6 +30,7 @@
     attempts_canceled,
     attempts_cache_miss,
     attempts_malformed,
+    attempts_stalled,
     health_checks,
     health_checks_answered,
     endpoint_updates,
--- a/src/proxy/request/request_session.cpp
+++ b/src/proxy/request/request_session.cpp
@@ -342,7 +342,10 @@
     const double now = context_.routing.now();
     const bool was_read = request_.received_at > 0;
     const bool has_response = request_.response_status != 0;
-    const log_level level = context_.request_level();
+    // A request that was sent to endpoints in vain is logged in production, too.
+    const bool failed_after_attempts =
+        has_response && request_.response_status != 200 && request_.attempts > 0;
+    const log_level level = failed_after_attempts ? log_level::info : context_.request_level();
     if (!context_.logger.is_enabled(level) || (!was_read && !has_response))
         return;
     context_.logger.write(level, "request-end id=", request_.id, " use-case=", request_.class_name,
--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -136,6 +136,7 @@
     if (time_until_stalled() > 0)
         return std::nullopt;
     context_.counts.add(counter::attempts_malformed);
+    context_.counts.add(counter::attempts_stalled);
     return attempt_result{outcome::error, upstream_close_reason::stalled};
 }
 
@@ -222,14 +223,19 @@
     return context_.routing.next_decision(request_.handle).type != decision_type::attempt_running;
 }
 
+// An attempt that closes its connection early is logged in production, too: only this line connects the
+// closed connection with its request.
 void upstream_attempt::log_end(const attempt_result &result) const {
-    const log_level level = context_.request_level();
+    const log_level level = result.reason ? log_level::info : context_.request_level();
     if (!context_.logger.is_enabled(level))
         return;
     context_.logger.write(level, "execution-end id=", request_.id,
                           " server=", context_.upstreams.id_of(decision_.endpoint),
                           " number=", decision_.attempt, " stopping-for=", context_.time_since_stop(),
                           " status=", response_.head().status, " note=", response_.head().header("X-Cache"),
+                          " received=", response_.released_bytes() + response_.body().size(),
+                          " silent=", last_received_at_ > 0 ? context_.routing.now() - last_received_at_ : 0,
+                          " left=", request_.effective_deadline() - context_.routing.now(),
                           " reason=", result.reason ? log_text(*result.reason) : "answered");
 }
 
