--- a/tests/proxy/long_body_test.cpp
+++ b/tests/proxy/long_body_test.cpp
@@ -1,17 +1,23 @@
 // SPDX-License-Identifier: Apache-2.0
 // Long bodies: requests and responses that are relayed while they arrive, because they do not fit into a
 // buffer.
+#include "support/raw_endpoint.hpp"
 #include "support/stand.hpp"
 
 #include "net/threads.hpp"
 
-#include <netinet/tcp.h>
 #include <random>
 #include <sys/time.h>
 
 namespace harrierpass::proxy {
 namespace {
 
+using test::connect_to_port;
+using test::raw_endpoint;
+using test::read_bytes;
+using test::read_head;
+using test::write_filler;
+
 constexpr std::size_t long_body_size = 32UL * 1024 * 1024; // bytes; the largest body that occurs
 
 // The peak resident memory of the process since its start, kB.
@@ -26,52 +32,6 @@
     return 0;
 }
 
-// Limits the bytes that the system takes for the endpoint while it reads nothing. With small segments the
-// system also gives the sender a small buffer.
-void use_small_buffers(int listening_socket) {
-    const int receive_buffer_size = 16384; // bytes
-    const int segment_size = 536;          // bytes
-    ::setsockopt(listening_socket, SOL_SOCKET, SO_RCVBUF, &receive_buffer_size, sizeof receive_buffer_size);
-    ::setsockopt(listening_socket, IPPROTO_TCP, TCP_MAXSEG, &segment_size, sizeof segment_size);
-}
-
-// An endpoint that passes each accepted connection to a function, which reads and writes its bytes.
-class raw_endpoint {
-public:
-    raw_endpoint(const raw_endpoint &) = delete;
-    raw_endpoint &operator=(const raw_endpoint &) = delete;
-    explicit raw_endpoint(std::function<void(int fd)> handle_connection, bool has_small_buffers = false)
-        : handle_connection_(std::move(handle_connection)),
-          listening_socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
-        if (has_small_buffers)
-            use_small_buffers(listening_socket_);
-        auto bound_address = test::loopback_address(0);
-        socklen_t size = sizeof bound_address;
-        if (::bind(listening_socket_, reinterpret_cast<sockaddr *>(&bound_address), size) != 0 ||
-            ::listen(listening_socket_, 8) != 0)
-            throw std::runtime_error("no port");
-        ::getsockname(listening_socket_, reinterpret_cast<sockaddr *>(&bound_address), &size);
-        port = ntohs(bound_address.sin_port);
-        thread_ = std::thread([this] {
-            for (int fd; (fd = ::accept(listening_socket_, nullptr, nullptr)) >= 0;) {
-                handle_connection_(fd);
-                ::close(fd);
-            }
-        });
-    }
-    ~raw_endpoint() {
-        ::shutdown(listening_socket_, SHUT_RDWR);
-        thread_.join();
-        ::close(listening_socket_);
-    }
-    int port = 0;
-
-private:
-    std::function<void(int)> handle_connection_;
-    int listening_socket_;
-    std::thread thread_;
-};
-
 // The configuration with an endpoint list of one endpoint on `port`.
 std::string configuration_with_endpoint(const proxy_fixture &fixture, int port) {
     std::string config = fixture.config;
@@ -104,32 +64,6 @@
     int port = 0;
 };
 
-std::string read_head(int fd) {
-    std::string head;
-    for (char byte; head.find("\r\n\r\n") == std::string::npos && ::recv(fd, &byte, 1, 0) == 1;)
-        head += byte;
-    return head;
-}
-void write_filler(int fd, std::size_t size) {
-    const std::string part(65536, 'v');
-    for (; size > 0; size -= std::min(size, part.size()))
-        test::send_all(fd, part.substr(0, std::min(size, part.size())));
-}
-std::size_t read_bytes(int fd, std::size_t size) {
-    std::vector<char> part(65536);
-    std::size_t received = 0;
-    for (long count; received < size; received += static_cast<std::size_t>(count))
-        if ((count = ::recv(fd, part.data(), std::min(part.size(), size - received), 0)) <= 0)
-            break;
-    return received;
-}
-int connect_to_port(int port) {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    const auto peer = test::loopback_address(port);
-    REQUIRE(::connect(fd, reinterpret_cast<const sockaddr *>(&peer), sizeof peer) == 0);
-    return fd;
-}
-
 } // namespace
 
 // The client does not read while the endpoint sends 32 MiB, and the endpoint does not read while the client
@@ -203,10 +137,7 @@
         test::send_all(fd,
                        "GET /read/1 HTTP/" + version + "\r\nX-Request-Id: 1\r\nConnection: close\r\n\r\n");
         const std::string head = read_head(fd);
-        std::string body;
-        std::vector<char> part(65536);
-        for (long count; (count = ::recv(fd, part.data(), part.size(), 0)) > 0;)
-            body.append(part.data(), static_cast<std::size_t>(count));
+        const std::string body = test::read_to_end(fd);
         ::close(fd);
         if (head.find("Transfer-Encoding: chunked") == std::string::npos)
             return std::to_string(body.size());
