A response that begins and pauses is waited for, or retried once, instead of being cut

Cause: an attempt was given up once its response had made no progress for a quarter of the latency objective, counted from the first byte of the head. A body that comes later than that was cut at each endpoint in turn until no attempt was left; at_most_once requests, which cannot be retried, failed at once. Change: router/response_stall decides. A stalled response is given up for a retry only once a request, only where the retry policy, the budget and another endpoint allow it and the objective is left, and never between head and body; else it is waited for until the deadline. The router hears that a response has begun, so that its endpoint does not count as silent meanwhile. The body of an error response is not waited for. Why this works: silence alone no longer ends an exchange whose request has nothing better to do with its time.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -142,8 +142,7 @@
 bool http_reader::exceeds_limit(std::size_t size) const {
     if (stream_limit_ == 0)
         return size > buffer_.size() - body_start_ - body_size_;
-    const std::size_t received_size = released_size_ + body_size_;
-    return size > stream_limit_ || received_size > stream_limit_ - size;
+    return size > stream_limit_ || received_body_bytes() > stream_limit_ - size;
 }
 
 void http_reader::release() {
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -66,6 +66,8 @@
     void release();
     // Number of body bytes released so far.
     std::size_t released_bytes() const { return released_size_; }
+    // Number of body bytes received so far, released or not.
+    std::size_t received_body_bytes() const { return released_size_ + body_size_; }
     // The size of the body in bytes if the head announces it.
     std::optional<std::size_t> content_length() const;
     // The peer closed the connection. Returns `complete` only if that ends the message.
--- a/src/proxy/request/active_request.hpp
+++ b/src/proxy/request/active_request.hpp
@@ -63,10 +63,9 @@
     bool streams_body = false; // the body is too long to be buffered and is forwarded while it arrives
 
     // Time limits.
-    double received_at = 0;          // time at which the request was read; 0: not read yet
-    double client_timeout = 0;       // seconds that the client waits after the last byte of its request
-    double deadline = 0;             // earliest time at which the client stops waiting; 0: not known yet
-    double response_stall_limit = 0; // seconds without progress after which a started response is stalled
+    double received_at = 0;    // time at which the request was read; 0: not read yet
+    double client_timeout = 0; // seconds that the client waits after the last byte of its request
+    double deadline = 0;       // earliest time at which the client stops waiting; 0: not known yet
 
     // Progress and result.
     request_handle handle;                         // identifies the request at the dispatcher
@@ -75,6 +74,7 @@
     bool counted_as_active = false;
     bool body_forwarded = false;               // a streamed body has been forwarded completely
     bool keep_connection = true;               // the client's connection may stay open after the response
+    bool retried_stall = false;                // an attempt was given up because its response stalled
     int response_status = 0;                   // status of the response that was started; 0: none
     index attempts = 0;                        // attempts started at endpoints
     std::optional<rejection_reason> rejection; // empty: the endpoint's response was forwarded, or none
--- a/src/proxy/request/body_upload.cpp
+++ b/src/proxy/request/body_upload.cpp
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "proxy/request/body_upload.hpp"
 
+#include "router/response_stall.hpp"
+
 namespace harrierpass::proxy {
 namespace {
 
@@ -34,7 +36,8 @@
     const relay_limits limits = {.source_timeout = body_timeout,
                                  .source_rate = min_body_rate,
                                  .sink_timeout = sink_pause_limit,
-                                 .sink_stall_limit = request_.response_stall_limit,
+                                 .sink_stall_limit =
+                                     response_stall_limit(request_.class_settings().latency_objective),
                                  .carries_request = true};
     const relay_callbacks callbacks = {.now = [&] { return routing.now(); },
                                        .deadline = [this] { return request_.effective_deadline(); },
--- a/src/proxy/request/dispatcher.cpp
+++ b/src/proxy/request/dispatcher.cpp
@@ -150,6 +150,18 @@
     });
 }
 
+void dispatcher::response_paused(request_handle &handle) {
+    report_event([&](double now) {
+        if (handle.request_ != none)
+            router_->on_response_paused(now, handle.request_);
+    });
+}
+
+bool dispatcher::may_retry(request_handle &handle) {
+    const std::lock_guard guard(lock_);
+    return handle.request_ != none && router_->may_retry(now(), handle.request_);
+}
+
 void dispatcher::request_body_sent(request_handle &handle, double deadline) {
     report_event([&](double now) {
         if (handle.request_ != none)
--- a/src/proxy/request/dispatcher.hpp
+++ b/src/proxy/request/dispatcher.hpp
@@ -78,6 +78,10 @@
     // Reports that the response is being forwarded to the client while it arrives. `from_origin`: the
     // endpoint fetched it from the origin.
     void response_started(request_handle &handle, bool from_origin);
+    // Reports that the endpoint has begun its response and pauses.
+    void response_paused(request_handle &handle);
+    // Returns whether the request would be retried if its running attempt failed now.
+    bool may_retry(request_handle &handle);
     // Reports that a long body has been sent; the time until the deadline starts.
     void request_body_sent(request_handle &handle, double deadline);
     // Reports that the client disconnected: a queued request ends, an attempt in flight continues.
--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -111,10 +111,10 @@
         // Checked before each wait, as a wake-up may have interrupted an earlier wait while writing.
         if (const auto result = result_if_ended())
             return *result;
-        const double time_left =
-            std::min(request_.effective_deadline() - context_.routing.now(), time_until_stalled());
-        if (!wait_for_response(time_left))
+        if (!wait_for_response(request_.effective_deadline() - context_.routing.now())) {
+            report_pause();
             continue;
+        }
         const auto state = read_available(response_, connection_.socket);
         last_received_at_ = context_.routing.now();
         if (!response_head_at_ && response_.has_head())
@@ -131,21 +131,41 @@
     const bool request_ended = decision.type != decision_type::attempt_running;
     if (decision.cancel)
         return attempt_result{outcome::canceled, upstream_close_reason::canceled, request_ended};
-    if (request_ended || request_.effective_deadline() <= context_.routing.now())
+    const bool is_over = request_ended || request_.effective_deadline() <= context_.routing.now();
+    if (response_.has_begun() && has_stalled(progress(), request_.class_settings().latency_objective))
+        return result_if_given_up(is_over, request_ended);
+    if (is_over)
         return attempt_result{outcome::timed_out, upstream_close_reason::timed_out, request_ended};
-    if (time_until_stalled() > 0)
+    return std::nullopt;
+}
+
+std::optional<attempt_result> upstream_attempt::result_if_given_up(bool is_over, bool request_ended) {
+    // The body of an error response is not forwarded.
+    if (response_.has_head() && response_.head().status != 200)
+        return attempt_result{outcome_of(response_.head(), false), upstream_close_reason::stalled,
+                              request_ended};
+    const bool is_retried = should_retry_stalled(progress(), request_.class_settings().latency_objective) &&
+                            context_.routing.may_retry(request_.handle);
+    if (!is_over && !is_retried)
         return std::nullopt;
+    request_.retried_stall = true;
     context_.counts.add(counter::attempts_malformed);
     context_.counts.add(counter::attempts_stalled);
-    return attempt_result{outcome::error, upstream_close_reason::stalled};
+    return attempt_result{outcome::error, upstream_close_reason::stalled, request_ended};
+}
+
+response_progress upstream_attempt::progress() const {
+    const double now = context_.routing.now();
+    return {.awaits_body = response_.has_head() && response_.received_body_bytes() == 0,
+            .silent_for = now - last_received_at_,
+            .time_left = request_.effective_deadline() - now,
+            .retried_stall = request_.retried_stall};
 }
 
-// A response that stalls half way indicates a wrong length rather than a dead endpoint. The limit applies
-// from the first byte on.
-double upstream_attempt::time_until_stalled() const {
-    if (!response_.has_begun())
-        return forever;
-    return last_received_at_ + request_.response_stall_limit - context_.routing.now();
+// The router would otherwise take the rest of the response for a silence of its endpoint.
+void upstream_attempt::report_pause() {
+    if (response_.has_begun() && !std::exchange(pause_reported_, true))
+        context_.routing.response_paused(request_.handle);
 }
 
 // An attempt continues after its client disconnected, so that the router's count of the attempts in flight at
@@ -233,7 +253,7 @@
                           " server=", context_.upstreams.id_of(decision_.endpoint),
                           " number=", decision_.attempt, " stopping-for=", context_.time_since_stop(),
                           " status=", response_.head().status, " note=", response_.head().header("X-Cache"),
-                          " received=", response_.released_bytes() + response_.body().size(),
+                          " received=", response_.received_body_bytes(),
                           " silent=", last_received_at_ > 0 ? context_.routing.now() - last_received_at_ : 0,
                           " left=", request_.effective_deadline() - context_.routing.now(),
                           " reason=", result.reason ? log_text(*result.reason) : "answered");
--- a/src/proxy/request/upstream_attempt.hpp
+++ b/src/proxy/request/upstream_attempt.hpp
@@ -8,6 +8,7 @@
 #include "proxy/client/response_writer.hpp"
 #include "proxy/request/active_request.hpp"
 #include "proxy/request/attempt_result.hpp"
+#include "router/response_stall.hpp"
 
 #include <optional>
 #include <string_view>
@@ -42,8 +43,8 @@
     first_write begin_write(std::string_view &head, std::string_view &body, double time_left);
     // Reads the response until it is complete, forwarded or abandoned.
     attempt_result await_response();
-    // Returns the result if the attempt was canceled, is past its deadline or has stalled; empty: it waits
-    // on.
+    // Returns the result if the attempt was canceled, is past its deadline or is given up as stalled; empty:
+    // it waits on.
     std::optional<attempt_result> result_if_ended();
     // Waits for at most `time_left` seconds; returns whether there are bytes to read. Detects that the client
     // disconnected.
@@ -56,8 +57,12 @@
     attempt_result forward_response();
     // Returns whether the router has made its final decision on the request.
     bool request_has_ended();
-    // Returns the seconds until a response without progress counts as stalled.
-    double time_until_stalled() const;
+    // Returns the result for a response that has stalled; empty: it may still be completed.
+    std::optional<attempt_result> result_if_given_up(bool is_over, bool request_ended);
+    // The progress of a response that has begun.
+    response_progress progress() const;
+    // Reports once that the response has begun and pauses.
+    void report_pause();
     // Logs the end of the attempt.
     void log_end(const attempt_result &result) const;
     // Releases the connection for reuse, or closes it.
@@ -72,6 +77,7 @@
     upstream_connection connection_;
     double last_received_at_ = 0;            // last progress of the response; Unix time in seconds
     std::optional<double> response_head_at_; // arrival of the head; Unix time in seconds
+    bool pause_reported_ = false;
 };
 
 } // namespace harrierpass::proxy
--- a/src/router/endpoint_fleet.cpp
+++ b/src/router/endpoint_fleet.cpp
@@ -195,7 +195,7 @@
 bool endpoint_fleet::check_member(endpoint_index endpoint, double pause, double now) {
     auto &record = table_[endpoint];
     record.silence.skip_pause(pause, now);
-    record.silence.advance(record.in_flight, now);
+    record.silence.advance(record.awaiting_response(), now);
     bool ejected_after_silence = false;
     if (record.health != endpoint_health::ejected &&
         outliers_.is_silent(record.silence, limits_.mean_response_time()))
@@ -222,7 +222,7 @@
     const bool is_origin = result.endpoint == table_.origin();
     const double elapsed = now - result.started_at;
     const double latency_share = elapsed / result.latency_objective;
-    record.silence.advance(record.in_flight, now);
+    record.silence.advance(record.awaiting_response(), now);
     reports_.record(record.load, report, table_.is_origin(record), now);
     if (is_endpoint_response(result.result))
         record.silence.reset();
--- a/src/router/endpoint_fleet.hpp
+++ b/src/router/endpoint_fleet.hpp
@@ -51,6 +51,10 @@
                        random_source &random);
     /// Records the start of a response. The attempt no longer counts as in flight.
     void record_response_start(const attempt_result &result, double now);
+    /// Records that a response has begun and pauses. The attempt still counts as in flight.
+    void record_response_pause(attempt_record &attempt, double now) {
+        table_.record_response_begin(attempt, now);
+    }
     /// Updates the endpoint's health after an attempt; true if it was ejected after a silence.
     [[nodiscard]] bool update_health(const attempt_result &result, bool is_failure, double now);
     /// Updates the endpoint's health and load after a health check.
--- a/src/router/endpoint_table.cpp
+++ b/src/router/endpoint_table.cpp
@@ -49,10 +49,21 @@
     if (std::exchange(attempt.counts_in_flight, in_flight) == in_flight)
         return;
     auto &record = records_[attempt.endpoint];
-    record.silence.advance(record.in_flight, now);
+    record.silence.advance(record.awaiting_response(), now);
+    if (std::exchange(attempt.has_begun_response, false))
+        --record.responding;
     const std::uint32_t change = in_flight ? 1 : -1U; // unsigned arithmetic wraps
     record.in_flight += change;
     fleet_in_flight_ += attempt.endpoint == origin_ ? 0 : change;
 }
 
+void endpoint_table::record_response_begin(attempt_record &attempt, double now) {
+    if (!attempt.counts_in_flight || std::exchange(attempt.has_begun_response, true))
+        return;
+    auto &record = records_[attempt.endpoint];
+    record.silence.advance(record.awaiting_response(), now);
+    record.silence.reset();
+    ++record.responding;
+}
+
 } // namespace harrierpass
--- a/src/router/endpoint_table.hpp
+++ b/src/router/endpoint_table.hpp
@@ -29,6 +29,7 @@
     std::uint32_t virtual_nodes = 0;        ///< Virtual nodes on the ring.
     std::uint32_t active_virtual_nodes = 0; ///< Virtual nodes in use; fewer while warming up.
     std::uint32_t in_flight = 0;            ///< Attempts of this proxy in flight.
+    std::uint32_t responding = 0;           ///< Attempts in flight whose response has begun; not a silence.
     adaptive_limit limit;
     outlier_state outlier;
     silence_tracker silence;
@@ -36,6 +37,9 @@
     double overloaded_until = 0; ///< No attempts are sent before this time, as the endpoint rejected one.
     origin_backoff backoff;      ///< Used for the origin only.
     reported_load load;
+
+    /// Attempts in flight at which nothing of a response has come.
+    [[nodiscard]] std::uint32_t awaiting_response() const { return in_flight - responding; }
 };
 
 /// The endpoints of one router, which owns the table.
@@ -58,6 +62,9 @@
     void update_origin();
     /// Includes an attempt in the count of attempts in flight, or excludes it. A repeated call has no effect.
     void count_in_flight(attempt_record &attempt, bool in_flight, double now);
+    /// Records that the endpoint has begun its response to an attempt, which ends its silence. A repeated
+    /// call has no effect.
+    void record_response_begin(attempt_record &attempt, double now);
 
     /// True if the endpoint has the origin's kind.
     [[nodiscard]] bool is_origin(const endpoint_record &record) const {
--- a/src/router/request_router.cpp
+++ b/src/router/request_router.cpp
@@ -128,6 +128,13 @@
     dispatch_queued();
 }
 
+void request_router::on_response_paused(double now, request_index id) {
+    now_ = now;
+    auto &request = requests_[id];
+    if (!request.attempts.empty() && request.attempts.back().is_open)
+        endpoints_.record_response_pause(request.attempts.back(), now);
+}
+
 void request_router::on_request_body_sent(double now, request_index id, double deadline) {
     now_ = now;
     auto &request = requests_[id];
@@ -152,6 +159,23 @@
                                            attempt.endpoint);
 }
 
+bool request_router::may_retry(double now, request_index id) const {
+    const auto &request = requests_[id];
+    if (request.state != request_state::in_progress || request.uses_origin)
+        return false;
+    const endpoint_index current = request.attempts.back().endpoint;
+    if (!retry_policy::allows_retry(request) || retry_policy_.is_exhausted(request, now) ||
+        !retry_budget_.is_available() || endpoints_.errors_are_common(current))
+        return false;
+    const auto &table = endpoints_.table();
+    return std::ranges::any_of(endpoints_.members(), [&](endpoint_index endpoint) {
+        const auto &candidate = table[endpoint];
+        return endpoint != current && !endpoints_.is_avoided(candidate) &&
+               endpoints_.has_capacity(candidate, request.admission_draw, now) &&
+               retry_policy_.dispatch_deadline(request, request.attempts.size(), table, endpoint) > now;
+    });
+}
+
 // ---- Endpoint events
 
 void request_router::on_endpoints_updated(double now, endpoint_update_kind kind,
--- a/src/router/request_router.hpp
+++ b/src/router/request_router.hpp
@@ -48,6 +48,8 @@
                              bool response_complete, bool origin_fetched, const load_report &report) override;
     /// Stops counting the attempt as in flight, and removes the request's deadline.
     void on_response_started(double now, request_index id, bool origin_fetched) override;
+    /// Stops counting the attempt towards the silence of its endpoint.
+    void on_response_paused(double now, request_index id) override;
     /// Starts counting the attempt as in flight, and sets the request's deadline.
     void on_request_body_sent(double now, request_index id, double deadline) override;
     /// Releases the request when its attempts have ended.
@@ -62,6 +64,8 @@
     void update_settings(double now, const router_settings &settings) override;
     /// Returns 0 if the request is not in progress or its endpoint is no longer ready.
     [[nodiscard]] double attempt_write_deadline(request_index id) const override;
+    /// True if the retry policy and the retry budget allow a retry, and another endpoint has capacity for it.
+    [[nodiscard]] bool may_retry(double now, request_index id) const override;
     /// True if the endpoint is ejected and mass ejection does not override that.
     [[nodiscard]] bool avoids_endpoint(endpoint_index endpoint) const override;
     /// True if the endpoint is ejected, regardless of mass ejection.
--- a/src/router/request_table.hpp
+++ b/src/router/request_table.hpp
@@ -21,6 +21,8 @@
     /// The attempt counts as in flight at the endpoint. It does not while a streamed body is sent or the
     /// response is relayed, as the client's speed determines how long these take.
     bool counts_in_flight = false;
+    /// The endpoint has begun its response. Only while counts_in_flight.
+    bool has_begun_response = false;
 };
 
 /// States of a request; request_lifecycle.cpp has the transitions.
--- a/src/router/router.hpp
+++ b/src/router/router.hpp
@@ -38,6 +38,9 @@
     /// The response has started and is being relayed to the client. From now on the client's speed determines
     /// the duration, so the rest of the attempt does not count as response time of the endpoint.
     virtual void on_response_started(double now, request_index request, bool origin_fetched = false) = 0;
+    /// The endpoint has begun its response and pauses. The attempt no longer counts towards the silence of
+    /// the endpoint.
+    virtual void on_response_paused(double /*now*/, request_index /*request*/) {}
     /// The body of a request with `streams_body` was sent completely: the response time of its attempt starts
     /// now, and `deadline` replaces the request's deadline.
     virtual void on_request_body_sent(double /*now*/, request_index /*request*/, double /*deadline*/) {}
@@ -49,6 +52,9 @@
     virtual double attempt_write_deadline(request_index /*request*/) const {
         return std::numeric_limits<double>::infinity();
     }
+    /// The request would be retried at another endpoint if its latest attempt, which is open, ended now
+    /// without a usable response.
+    virtual bool may_retry(double /*now*/, request_index /*request*/) const { return true; }
     /// A health check finished; `responded`: the endpoint sent a response.
     virtual void on_health_check_finished(double now, endpoint_index endpoint, bool responded,
                                           const load_report &report = {}) = 0;
--- a/src/subsets/subset_router.cpp
+++ b/src/subsets/subset_router.cpp
@@ -58,6 +58,11 @@
         forward_actions(now);
     }
 
+    void on_response_paused(double now, request_index request) override {
+        inner_router_->on_response_paused(now, request);
+        forward_actions(now);
+    }
+
     void on_request_body_sent(double now, request_index request, double deadline) override {
         inner_router_->on_request_body_sent(now, request, deadline);
         forward_actions(now);
@@ -92,6 +97,10 @@
         return inner_router_->attempt_write_deadline(request);
     }
 
+    bool may_retry(double now, request_index request) const override {
+        return inner_router_->may_retry(now, request);
+    }
+
     // The ejection of an endpoint outside the subset does not count, as its health is no longer checked.
     bool avoids_endpoint(endpoint_index endpoint) const override {
         return selection_.is_selected(endpoint) && inner_router_->avoids_endpoint(endpoint);
