An id that may have been executed for a client that left is not executed again

Cause: the id of a request was kept only as long as its session; nothing remembered that it may have had an effect of which its client does not know. Ids of requests that are idempotent, were not executed or were answered may come again. Why this works: the id is remembered before its session releases it, so that there is no moment in which it is unknown. The other process of an upgrade does not know these ids: open.

--- a/src/proxy/request/proxy_context.hpp
+++ b/src/proxy/request/proxy_context.hpp
@@ -9,6 +9,7 @@
 #include "proxy/operations/request_metrics.hpp"
 #include "proxy/request/active_request_ids.hpp"
 #include "proxy/request/dispatcher.hpp"
+#include "proxy/request/executed_request_ids.hpp"
 #include "proxy/request/request_guard.hpp"
 #include "proxy/upstream/upstream_pool.hpp"
 
@@ -29,6 +30,7 @@
     request_metrics &metrics;
     std::function<bool()> ready; // whether the proxy has an endpoint list
     active_request_ids ids = {};
+    executed_request_ids executed_ids = {};
     invariant_monitor invariants{counts, logger};
 
     // The schedule of a planned stop. Each time is set once, so that later changes of the settings do not
--- a/src/proxy/request/rejection_reason.hpp
+++ b/src/proxy/request/rejection_reason.hpp
@@ -15,16 +15,17 @@
     stopping,    // a planned stop leaves no time for the request
     out_of_time, // the request's deadline passed
     too_many_connections,
-    id_in_use, // another active request has the same X-Request-Id
+    id_in_use,   // another active request has the same X-Request-Id
+    id_executed, // a request with the same X-Request-Id may have been executed, and its client has left
     out_of_memory,
     internal_error,
     invariant // a step was refused because it would have violated an invariant
 };
 
 // Values of the log field `refused-for`, by rejection_reason; the operators' documentation lists them.
-inline constexpr std::array<const char *, 9> rejection_reason_texts = {
-    "router_rejected", "router_aborted", "stopping", "out_of_time", "too_many_connections",
-    "id_in_use",       "no_memory",      "failed",   "invariant"};
+inline constexpr std::array<const char *, 10> rejection_reason_texts = {
+    "router_rejected", "router_aborted", "stopping",  "out_of_time", "too_many_connections",
+    "id_in_use",       "id_executed",    "no_memory", "failed",      "invariant"};
 
 // Returns the value in the log.
 constexpr const char *log_text(rejection_reason reason) {
--- a/src/proxy/request/request_session.cpp
+++ b/src/proxy/request/request_session.cpp
@@ -46,6 +46,8 @@
     close_decision serve();
     // Called after an exception of serve(): writes the response if there was none yet.
     void fail(rejection_reason reason);
+    // Remembers the id of a request that may have had an effect of which its client does not know.
+    void remember_id(close_decision decision) const;
     // Logs the request: its response, its attempts, and whether its connection stays open.
     void log_end(close_decision decision) const;
 
@@ -177,6 +179,8 @@
     request_.id_lease = context_.ids.acquire(request_.id);
     if (!request_.id_lease)
         return rejection_reason::id_in_use;
+    if (context_.executed_ids.contains(request_.id, request_.received_at))
+        return rejection_reason::id_executed;
     context_.counts.add(counter::requests);
     if (client_.over_capacity)
         return rejection_reason::too_many_connections;
@@ -187,9 +191,12 @@
 
 close_decision request_session::reject_at_admission(rejection_reason reason) {
     request_.rejection = reason;
-    if (reason == rejection_reason::id_in_use) {
+    const bool is_active = reason == rejection_reason::id_in_use;
+    if (is_active || reason == rejection_reason::id_executed) {
         request_.count_result(request_result::failed);
-        return writer_.refuse_malformed(409, {}, "a query with this X-Request-Id is open\n");
+        return writer_.refuse_malformed(409, {},
+                                        is_active ? "a query with this X-Request-Id is open\n"
+                                                  : "a query with this X-Request-Id may have been run\n");
     }
     request_.keep_connection = false;
     const counter counted_as = reason == rejection_reason::too_many_connections
@@ -339,6 +346,16 @@
         request_.rejection = reason;
 }
 
+void request_session::remember_id(close_decision decision) const {
+    if (!request_.guard.possibly_executed() || request_.class_settings().effect == effect_kind::idempotent)
+        return;
+    const bool was_delivered = request_.response_status != 0 && !request_.client_has_left() &&
+                               decision != close_reason::response_not_delivered &&
+                               !peer_has_disconnected(client_.socket);
+    if (!was_delivered)
+        context_.executed_ids.add(request_.id, context_.routing.now());
+}
+
 void request_session::log_end(close_decision decision) const {
     const double now = context_.routing.now();
     const bool was_read = request_.received_at > 0;
@@ -365,6 +382,7 @@
     close_decision decision;
     try {
         decision = session.serve();
+        session.remember_id(decision);
     } catch (const std::bad_alloc &) {
         session.fail(rejection_reason::out_of_memory);
         decision = close_reason::out_of_memory;
