Connections that are kept for an endpoint end when the list moves it to another address

Cause: set_endpoint closed the kept connections only where the id of a slot changed, not where the address of an id did; connections in use went back to the pool unasked. Change: a slot has a version that changes with id and address; idle connections of an earlier version are closed, those in use are not reused, and nothing is written on one whose endpoint moved during the connect.

--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -93,14 +93,16 @@
     return {outcome::timed_out, upstream_close_reason::timed_out};
 }
 
-// The router's decision may have changed during the connect, so it is checked right before the first byte.
+// The router's decision and the endpoint's address may have changed during the connect, so they are checked
+// right before the first byte.
 upstream_attempt::first_write upstream_attempt::begin_write(string_view &head, string_view &body,
                                                             double time_left) {
     first_write write;
     write.deadline =
         std::min(context_.routing.attempt_write_deadline(request_.handle), request_.effective_deadline());
     const double now = context_.routing.now();
-    if (now < write.deadline && request_.guard.may_start_attempt(now, time_left))
+    if (now < write.deadline && context_.upstreams.leads_to_endpoint(connection_) &&
+        request_.guard.may_start_attempt(now, time_left))
         write.status = write_some(connection_.socket, head, body).status;
     return write;
 }
--- a/src/proxy/upstream/upstream_pool.cpp
+++ b/src/proxy/upstream/upstream_pool.cpp
@@ -19,23 +19,32 @@
     const auto remote_address = parse_address(host_port);
     if (!remote_address)
         log_.warning("server ", id, " has no usable address: ", host_port);
-    bool same_id = false;
+    bool is_moved = false;
     {
         const std::lock_guard guard(lock_);
         if (endpoint.value() >= endpoints_.size())
             endpoints_.resize(std::size_t{endpoint.value()} + 1);
-        same_id = endpoints_[endpoint.value()].id == id;
+        const auto &slot = endpoints_[endpoint.value()];
+        is_moved = slot.id != id || slot.host_port != host_port;
     }
-    // Closes the connections to the old endpoint, on which no request for the new one may be written.
-    if (!same_id)
+    // Closes the connections to the old endpoint or address, on which no request for the new one may be
+    // written. Those in use are not reused.
+    if (is_moved)
         close_idle_of(endpoint, now, upstream_close_reason::endpoint_removed);
     const std::lock_guard guard(lock_);
     auto &slot = endpoints_[endpoint.value()];
     slot.id = id;
+    slot.host_port = host_port;
+    slot.address_version += is_moved ? 1 : 0;
     slot.remote_address = remote_address;
     slot.started_at = started_at;
 }
 
+bool upstream_pool::leads_to_endpoint(const upstream_connection &connection) {
+    const std::lock_guard guard(lock_);
+    return endpoints_.at(connection.endpoint.value()).address_version == connection.address_version;
+}
+
 void upstream_pool::set_capacity(std::size_t capacity, double now) {
     capacity_ = capacity;
     while (open_connections() > capacity && close_oldest_idle(now)) {
@@ -77,6 +86,7 @@
                              double now) const {
     const double idle_time = now - connection.last_used_at;
     return idle_time > idle_timeout_ * idle_reuse_share || connection.connected_at < slot.started_at ||
+           connection.address_version != slot.address_version ||
            peek(connection.socket) != peek_result::empty;
 }
 
@@ -117,10 +127,12 @@
 
 upstream_connection upstream_pool::connect_new(endpoint_index endpoint, double now, double max_wait) {
     std::optional<address> remote_address;
+    std::uint32_t address_version = 0;
     bool over_capacity = false;
     {
         const std::lock_guard guard(lock_);
         remote_address = endpoints_.at(endpoint.value()).remote_address;
+        address_version = endpoints_[endpoint.value()].address_version;
         ++open_;
         over_capacity = open_ + client_connections_ > capacity_;
     }
@@ -128,6 +140,7 @@
         close_oldest_idle(now);
     upstream_connection connection;
     connection.endpoint = endpoint;
+    connection.address_version = address_version;
     connection.connected_at = connection.last_used_at = now;
     counters_.add(counter::upstream_connects);
     if (!remote_address) {
--- a/src/proxy/upstream/upstream_pool.hpp
+++ b/src/proxy/upstream/upstream_pool.hpp
@@ -12,6 +12,7 @@
 #include "router/types.hpp"
 
 #include <atomic>
+#include <cstdint>
 #include <deque>
 #include <mutex>
 #include <optional>
@@ -28,6 +29,7 @@
 struct upstream_connection {
     tcp_socket socket; // empty: no connection was established
     endpoint_index endpoint = none;
+    std::uint32_t address_version = 0; // of the endpoint when the connection was made
     double connected_at = 0;
     double last_used_at = 0;     // arrival of its last response
     double idle_time = 0;        // seconds that it was idle before its current attempt
@@ -62,6 +64,8 @@
     // another endpoint, which is no longer referenced.
     void set_endpoint(endpoint_index endpoint, std::string_view id, std::string_view host_port,
                       double started_at, double now);
+    // Returns whether the connection leads to the address that its endpoint has now.
+    bool leads_to_endpoint(const upstream_connection &connection);
     // Returns the id that was passed to set_endpoint().
     std::string id_of(endpoint_index endpoint);
 
@@ -99,7 +103,9 @@
     // An endpoint and its idle connections.
     struct endpoint_slot {
         std::string id;
+        std::string host_port;
         std::optional<address> remote_address; // empty: the endpoint list has no usable address
+        std::uint32_t address_version = 0;     // changes with the id and with the address
         double started_at = 0;
         std::deque<upstream_connection> idle; // in order of last_used_at, latest last
     };
