--- a/tests/proxy/request_id_test.cpp
+++ b/tests/proxy/request_id_test.cpp
@@ -48,4 +48,29 @@
     CHECK(status_of_repeated_request(idempotent, "read") == "HTTP/1.1 200");
 }
 
+// Guards against an effect that happens twice because its id comes again at the other process of an upgrade
+// (report 33b532).
+TEST_CASE("request ids: an executed request is not executed again by a process that takes over") {
+    const temporary_directory directory;
+    auto options = options_with_responses({});
+    options.port = free_port();
+    options.with_control_server = true;
+    proxy_fixture fixture(options);
+    proxy_process predecessor(fixture, "predecessor.json");
+    directory.wait_for_hot_restart_socket();
+    const std::string request = make_request("bill", "1");
+    {
+        test_client first(predecessor.port);
+        first.send(request);
+        fixture.wait_for_attempt();
+    }
+    predecessor.process.wait_for_output("reason=client_left");
+    proxy_process successor(fixture, "successor.json");
+    predecessor.process.wait_for_output("succeeded");
+    CHECK(test_client(successor.port).request(request).substr(0, 12) == "HTTP/1.1 409");
+    CHECK(fixture.attempt_count() == 1);
+    predecessor.stop();
+    successor.stop();
+}
+
 } // namespace harrierpass::proxy
