--- a/src/proxy/client/body_relay.cpp
+++ b/src/proxy/client/body_relay.cpp
@@ -28,6 +28,7 @@
     // The functions that return an optional return the result of the relay if it has to end.
     using failure = std::optional<relay_result>;
 
+    failure check_cancelled_or_late() const;
     failure check_before_end() const;
     failure write_window(bool is_last);
     failure write(std::string_view head, std::string_view body);
@@ -69,12 +70,18 @@
     }
 }
 
-// The endpoint may execute a request once its last byte is written, so this must not happen too late.
-body_relay::failure body_relay::check_before_end() const {
+body_relay::failure body_relay::check_cancelled_or_late() const {
     if (callbacks_.is_cancelled())
         return relay_result::cancelled;
     if (callbacks_.now() >= callbacks_.deadline())
         return relay_result::deadline_passed;
+    return std::nullopt;
+}
+
+// The endpoint may execute a request once its last byte is written, so this must not happen too late.
+body_relay::failure body_relay::check_before_end() const {
+    if (const auto failed = check_cancelled_or_late())
+        return failed;
     if (peer_has_disconnected(source_))
         return relay_result::source_disconnected;
     return std::nullopt;
@@ -147,11 +154,9 @@
 body_relay::failure body_relay::wait_for_source() {
     const double waiting_since = callbacks_.now();
     for (;;) {
-        if (callbacks_.is_cancelled())
-            return relay_result::cancelled;
+        if (const auto failed = check_cancelled_or_late())
+            return failed;
         const double until_deadline = callbacks_.deadline() - callbacks_.now();
-        if (until_deadline <= 0)
-            return relay_result::deadline_passed;
         const double time_left = source_time_left(waiting_since);
         if (time_left <= 0)
             return relay_result::source_slow;
--- a/src/proxy/request/request_session.cpp
+++ b/src/proxy/request/request_session.cpp
@@ -8,6 +8,7 @@
 #include "proxy/request/active_request.hpp"
 #include "proxy/request/body_upload.hpp"
 #include "proxy/request/protocol.hpp"
+#include "proxy/request/request_log.hpp"
 #include "proxy/request/upstream_attempt.hpp"
 
 #include <algorithm>
@@ -48,8 +49,7 @@
     void fail(rejection_reason reason);
     // Remembers the id of a request that may have had an effect of which its client does not know.
     void remember_id(close_decision decision) const;
-    // Logs the request: its response, its attempts, and whether its connection stays open.
-    void log_end(close_decision decision) const;
+    const active_request &request() const { return request_; }
 
 private:
     close_decision process(http_reader &message);
@@ -356,26 +356,6 @@
         context_.executed_ids.add(request_.id, context_.routing.now());
 }
 
-void request_session::log_end(close_decision decision) const {
-    const double now = context_.routing.now();
-    const bool was_read = request_.received_at > 0;
-    const bool has_response = request_.response_status != 0;
-    // A request that was sent to endpoints in vain is logged in production, too.
-    const bool failed_after_attempts =
-        has_response && request_.response_status != 200 && request_.attempts > 0;
-    const log_level level = failed_after_attempts ? log_level::info : context_.request_level();
-    if (!context_.logger.is_enabled(level) || (!was_read && !has_response))
-        return;
-    context_.logger.write(level, "request-end id=", request_.id, " use-case=", request_.class_name,
-                          " status=", request_.response_status, " attempts=", request_.attempts,
-                          " took=", was_read ? now - request_.received_at : 0,
-                          " left=", request_.deadline > 0 ? request_.deadline - now : 0,
-                          " stopping-for=", context_.time_since_stop(),
-                          " refused-for=", request_.rejection ? log_text(*request_.rejection) : "-",
-                          " connection=", decision ? log_text(*decision) : "kept",
-                          was_read && !has_response ? " unanswered=1" : "");
-}
-
 // Serves a request and releases its resources, including its buffer.
 close_decision serve_and_log(proxy_context &context, client_connection &client) {
     request_session session(context, client);
@@ -391,7 +371,7 @@
         session.fail(rejection_reason::internal_error);
         decision = close_reason::internal_error;
     }
-    session.log_end(decision);
+    log_request_end(session.request(), decision);
     return decision;
 }
 
