An id may come again after its client has read the response and closed at once

Change: only a connection that was reset tells that its response was not read; an orderly close does not.

--- a/src/proxy/request/request_session.cpp
+++ b/src/proxy/request/request_session.cpp
@@ -346,12 +346,14 @@
         request_.rejection = reason;
 }
 
+// A client that closes its connection without having read the response resets it; one that has read it may
+// close at once.
 void request_session::remember_id(close_decision decision) const {
     if (!request_.guard.possibly_executed() || request_.class_settings().effect == effect_kind::idempotent)
         return;
     const bool was_delivered = request_.response_status != 0 && !request_.client_has_left() &&
                                decision != close_reason::response_not_delivered &&
-                               !peer_has_disconnected(client_.socket);
+                               peek(client_.socket) != peek_result::reset;
     if (!was_delivered)
         context_.executed_ids.add(request_.id, context_.routing.now());
 }
--- a/tests/proxy/request_id_test.cpp
+++ b/tests/proxy/request_id_test.cpp
@@ -48,6 +48,14 @@
     CHECK(status_of_repeated_request(idempotent, "read") == "HTTP/1.1 200");
 }
 
+TEST_CASE("request ids: an id may come again after its client has read the response and closed at once") {
+    proxy_fixture fixture({.start_proxy = false});
+    proxy_process proxy(fixture, "request-id.json");
+    for (int i = 0; i < 200; ++i)
+        REQUIRE(status_and_body(test_client(proxy.port).request(make_request("bill", "1"))) ==
+                "HTTP/1.1 200 [value]");
+}
+
 // Guards against an effect that happens twice because its id comes again at the other process of an upgrade
 // (report 33b532).
 TEST_CASE("request ids: an executed request is not executed again by a process that takes over") {
