Slow response tests: a field that no plan set is gone

Cause: response_plan::is_complete was true in every plan, so that its branches were never taken. Change: the field and its two branches are removed; all checks stay.

--- a/tests/proxy/slow_response_test.cpp
+++ b/tests/proxy/slow_response_test.cpp
@@ -22,7 +22,6 @@
     std::string framing_field;  // a header line; empty: the response ends with its connection
     std::size_t size;           // bytes of the body
     std::size_t sent_with_head; // bytes of the body that come before the pause
-    bool is_complete = true;    // the endpoint writes the rest after the pause
 };
 
 // Writes a part of a body, in chunks if the plan says so.
@@ -37,7 +36,7 @@
             text << part;
         test::send_all(fd, text.str());
     }
-    if (is_chunked && plan.is_complete && size == plan.size - plan.sent_with_head)
+    if (is_chunked && size == plan.size - plan.sent_with_head)
         test::send_all(fd, "0\r\n\r\n");
 }
 
@@ -45,8 +44,7 @@
     test::send_all(fd, "HTTP/1.1 200 OK\r\n" + plan.framing_field + "\r\n");
     write_body(fd, plan, plan.sent_with_head);
     std::this_thread::sleep_for(pause);
-    if (plan.is_complete)
-        write_body(fd, plan, plan.size - plan.sent_with_head);
+    write_body(fd, plan, plan.size - plan.sent_with_head);
 }
 
 // The number of body bytes in a response to a client, and whether it is whole.
