Review case 8: a ban is lost when an upgrade is repeated after a killed successor

Cause: a process that begins to serve binds the name of the local socket over that of its predecessor. If it is killed, the predecessor serves on but does not bind the name again; the next process of an upgrade finds nobody and starts without the endpoints that operators disabled.

Change: case 8 of the review; the stand-in for the platform starts processes beside each other and tells one that did not start from one that is ready. Nothing is corrected.

--- a/review/stage-2.hpp
+++ b/review/stage-2.hpp
@@ -463,8 +463,8 @@
             ::_exit(127);
         }
         const int asked = control_port != 0 ? control_port : port_;
-        for (const double until = now() + 10; now() < until; sleep_for(0.05))
-            if (call(asked, control_port != 0 ? "GET /ready" : "GET /_health") == 200)
+        for (const double until = now() + 10; now() < until && is_running(); sleep_for(0.05))
+            if (call(asked, control_port != 0 ? "GET /ready" : "GET /_health") == 200 && is_running())
                 return;
         throw std::runtime_error("the proxy is not ready");
     }
@@ -480,7 +480,7 @@
     int port() const { return port_; }
     const std::string &temporary() const { return temporary_; }
     pid_t pid() const { return pid_; }
-    bool is_running() const { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
+    bool is_running() const { return pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == 0; }
     void stop() {
         if (pid_ <= 0)
             return;
