Review: the stand-ins' threads own what they use

Cause: the threads of cache nodes and discovery used objects that were destroyed at the end of a case, just before the process ended.

Change: these threads share the ownership of what they use; the link with a delay, which no case uses any more, is gone. What the stand-ins send and judge is as before.

--- a/review/9/case-2.cpp
+++ b/review/9/case-2.cpp
@@ -64,7 +64,7 @@
             clients.emplace_back(run_client, i, balancer.port(), now() + 25);
         sleep_for(3);
         if (with_trouble()) {
-            list.slowness = slowness;
+            list.be_slow(slowness);
             record().line("discovery: each answer takes %.1f s from now on", slowness);
         }
         sleep_for(3);
--- a/review/stage-2.hpp
+++ b/review/stage-2.hpp
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
-// Stand-ins for the cases 6 to 10: clients, cache nodes, discovery, links with a delay, and the platform that
-// starts the proxy. Everything is on loopback and on the real clock. No dependency beyond the C++ library.
+// Stand-ins for the cases 6 to 10: clients, cache nodes, discovery, and the platform that starts the proxy.
+// Everything is on loopback and on the real clock. No dependency beyond the C++ library.
 #pragma once
 
 #include <algorithm>
@@ -14,7 +14,6 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <deque>
 #include <fcntl.h>
 #include <functional>
 #include <map>
@@ -285,121 +284,86 @@
            std::to_string(body.size()) + "\r\n" + fields + "\r\n" + body;
 }
 
-// A listening socket with a thread for each connection. It lives as long as the process.
+// A listening socket with a thread for each connection. Socket and threads live as long as the process; they own
+// what they use, so that the objects here may go before them.
 class server {
 public:
-    explicit server(std::function<void(connection &)> serve, int port = 0)
-        : serve_(std::move(serve)), fd_(listen_on(port)), port_(port_of(fd_)) {
-        std::thread([this] {
+    explicit server(std::function<void(connection &)> serve, int port = 0) : port_(start(std::move(serve), port)) {}
+    int port() const { return port_; }
+
+private:
+    static int start(std::function<void(connection &)> serve, int port) {
+        const int listener = listen_on(port);
+        const auto shared = std::make_shared<std::function<void(connection &)>>(std::move(serve));
+        std::thread([listener, shared] {
             for (;;) {
-                const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+                const int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
                 if (fd < 0)
                     continue;
                 no_delay(fd);
-                std::thread([this, fd] {
+                std::thread([fd, shared] {
                     connection accepted(fd);
-                    serve_(accepted);
+                    (*shared)(accepted);
                 }).detach();
             }
         }).detach();
+        return port_of(listener);
     }
-    int port() const { return port_; }
-
-private:
-    std::function<void(connection &)> serve_;
-    int fd_, port_;
-};
-
-// A link to a port with the same delay in each direction. Bytes keep their order; an end follows the bytes.
-class link {
-public:
-    link(int target, double delay) : delay_(delay), server_([this, target](connection &near) {
-        connection far(connect_to(target));
-        if (far.fd() < 0)
-            return;
-        std::thread back([&] { carry(far.fd(), near.fd()); });
-        carry(near.fd(), far.fd());
-        back.join();
-    }) {}
-    int port() const { return server_.port(); }
-
-private:
-    void carry(int from, int to) const {
-        std::mutex lock;
-        std::condition_variable changed;
-        std::deque<std::pair<double, std::string>> queue; // an empty text: the end
-        std::thread writer([&] {
-            for (;;) {
-                std::unique_lock guard(lock);
-                changed.wait(guard, [&] { return !queue.empty(); });
-                auto [due, text] = std::move(queue.front());
-                queue.pop_front();
-                guard.unlock();
-                sleep_for(due - now());
-                if (text.empty() || !write_all(to, text))
-                    break;
-            }
-            ::shutdown(to, SHUT_WR);
-        });
-        char bytes[65536];
-        for (bool open = true; open;) {
-            const auto received = ::recv(from, bytes, sizeof bytes, 0);
-            open = received > 0;
-            const std::lock_guard guard(lock);
-            queue.emplace_back(now() + delay_, std::string(bytes, open ? static_cast<std::size_t>(received) : 0));
-            changed.notify_one();
-        }
-        writer.join();
-    }
-    double delay_;
-    server server_;
+    int port_;
 };
 
 // Discovery: whole lists and watches, as an agent on the proxy's machine gives them.
 class discovery {
 public:
-    discovery() : server_([this](connection &caller) { serve(caller); }) {}
+    discovery() : server_([state = state_](connection &caller) { state->serve(caller); }) {}
     int port() const { return server_.port(); }
-    std::atomic<double> slowness = 0; // s from an answer's time until it is sent
+    // Each answer is sent so many seconds late from now on.
+    void be_slow(double seconds) { state_->slowness = seconds; }
     void set(const std::string &id, int node_port, const std::string &phase = "active") {
-        const std::lock_guard guard(lock_);
+        const std::lock_guard guard(state_->lock);
         char entry[300];
         std::snprintf(entry, sizeof entry,
                       R"({"id":"%s","host_port":"127.0.0.1:%d","locality":"barracas","flavor":"caja-a",)"
                       R"("cell":0,"phase":"%s","size":1.0,"up_since_ms":0})",
                       id.c_str(), node_port, phase.c_str());
-        entries_[id] = entry;
-        ++revision_;
-        changed_.notify_all();
+        state_->entries[id] = entry;
+        ++state_->revision;
+        state_->changed.notify_all();
     }
 
 private:
-    void serve(connection &caller) {
-        message call;
-        while (caller.read(call, 600) == read_result::complete) {
-            unsigned long long since = 0;
-            int timeout = 0;
-            const bool is_watch = std::sscanf(call.target().c_str(),
-                                              "/catalog/members?since=%llu&timeout_ms=%d", &since, &timeout) == 2;
-            std::unique_lock guard(lock_);
-            if (is_watch)
-                changed_.wait_for(guard, std::chrono::milliseconds(timeout), [&] { return revision_ > since; });
-            const bool is_whole = !is_watch || revision_ > since;
-            std::string list = "{\"revision\":" + std::to_string(revision_) +
-                               ",\"complete\":" + (is_whole ? "true" : "false") + ",\"members\":[";
-            if (is_whole)
-                for (const auto &[id, entry] : entries_)
-                    list += (list.back() == '[' ? "" : ",") + entry;
-            guard.unlock();
-            sleep_for(slowness);
-            if (!caller.send(answer(200, list + "]}")))
-                return;
+    struct shared_state {
+        std::mutex lock;
+        std::condition_variable changed;
+        std::map<std::string, std::string> entries; // by id
+        unsigned long long revision = 1;
+        std::atomic<double> slowness = 0;
+
+        void serve(connection &caller) {
+            message call;
+            while (caller.read(call, 600) == read_result::complete) {
+                unsigned long long since = 0;
+                int timeout = 0;
+                const bool is_watch =
+                    std::sscanf(call.target().c_str(), "/catalog/members?since=%llu&timeout_ms=%d", &since,
+                                &timeout) == 2;
+                std::unique_lock guard(lock);
+                if (is_watch)
+                    changed.wait_for(guard, std::chrono::milliseconds(timeout), [&] { return revision > since; });
+                const bool is_whole = !is_watch || revision > since;
+                std::string list = "{\"revision\":" + std::to_string(revision) +
+                                   ",\"complete\":" + (is_whole ? "true" : "false") + ",\"members\":[";
+                if (is_whole)
+                    for (const auto &[id, entry] : entries)
+                        list += (list.back() == '[' ? "" : ",") + entry;
+                guard.unlock();
+                sleep_for(slowness);
+                if (!caller.send(answer(200, list + "]}")))
+                    return;
+            }
         }
-    }
-    std::mutex lock_;
-    std::condition_variable changed_;
-    std::map<std::string, std::string> entries_;
-    unsigned long long revision_ = 1;
+    };
+    std::shared_ptr<shared_state> state_ = std::make_shared<shared_state>();
     server server_;
 };
 
