A forwarded response that is not long ends by half a second after its time

Cause: a body of unknown length is forwarded from its first bytes; from there on the relay had no deadline but that of a planned stop. That is meant for bodies over 64 KiB, of which only the beginning has to be in time, and was applied to all whose length is unknown.

Change: router/response_stall, remaining_silence(), decides how long the endpoint of a forwarded response may stay silent, and the relay asks it. A body is long if more than 64 KiB are announced, by Content-Length or by a chunk, or have come; nothing changes for it once it has begun. Any other body is whole 0.25 s after the deadline, unless it comes as fast as long ones do, or is given up. A chunk that announces a long body is forwarded like a counted one, instead of being held back for a pause.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -152,6 +152,11 @@
     released_size_ += std::exchange(body_size_, 0);
 }
 
+std::size_t http_reader::announced_body_bytes() const {
+    const bool expects_bytes = step_ == parse_step::sized_body || step_ == parse_step::chunk;
+    return received_body_bytes() + (expects_bytes ? remaining_ : 0);
+}
+
 std::optional<std::size_t> http_reader::content_length() const {
     const bool is_known = step_ != parse_step::head && head_.header_count("Content-Length") > 0;
     return is_known ? std::optional(content_length_) : std::nullopt;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -68,6 +68,8 @@
     std::size_t released_bytes() const { return released_size_; }
     // Number of body bytes received so far, released or not.
     std::size_t received_body_bytes() const { return released_size_ + body_size_; }
+    // Number of body bytes that the peer has sent or announced, by Content-Length or by a chunk's size line.
+    std::size_t announced_body_bytes() const;
     // The size of the body in bytes if the head announces it.
     std::optional<std::size_t> content_length() const;
     // The peer closed the connection. Returns `complete` only if that ends the message.
--- a/src/proxy/client/body_relay.cpp
+++ b/src/proxy/client/body_relay.cpp
@@ -45,6 +45,7 @@
     const relay_callbacks &callbacks_;
     bool has_chunks_ = false;      // a chunk has been written
     double source_wait_ = 0;       // s waited for the source in total; time spent on the sink is not included
+    double sink_wait_ = 0;         // s spent on writing to the sink in total
     double window_started_at_ = 0; // start of the write of the current window
     double sink_progress_at_ = 0;  // the sink accepted data, or the write of the current window started
 };
@@ -95,6 +96,7 @@
     const std::string chunk_head = is_chunked && !body.empty() ? next_chunk_head(body.size()) : "";
     if (const auto failed = write(chunk_head, body))
         return failed;
+    sink_wait_ += callbacks_.now() - window_started_at_;
     if (!is_chunked || !is_last)
         return std::nullopt;
     return write(has_chunks_ ? "\r\n0\r\n\r\n" : "0\r\n\r\n", {});
@@ -157,13 +159,15 @@
         if (const auto failed = check_cancelled_or_late())
             return failed;
         const double until_deadline = callbacks_.deadline() - callbacks_.now();
-        const double time_left = source_time_left(waiting_since);
-        if (time_left <= 0)
-            return relay_result::source_slow;
+        const double time_left = std::max(0.0, source_time_left(waiting_since));
         const short sink_events = limits_.carries_request ? POLLIN : 0;
         std::array<pollfd, 2> sockets = {{{source_.get(), POLLIN, 0}, {sink_.get(), sink_events, 0}}};
-        if (wait_on(sockets, std::min({missed_wakeup_limit, time_left, until_deadline})) <= 0)
+        if (wait_on(sockets, std::min({missed_wakeup_limit, time_left, until_deadline})) <= 0) {
+            // Only now, as bytes that came while the sink was written to count as well.
+            if (source_time_left(waiting_since) <= 0)
+                return relay_result::source_slow;
             continue;
+        }
         const bool sink_sent = (sockets[1].revents & POLLIN) != 0;
         if (sockets[1].revents != 0)
             return sink_sent ? relay_result::sink_responded : relay_result::sink_broken;
@@ -178,7 +182,13 @@
     double allowed = limits_.source_timeout;
     if (limits_.source_rate > 0)
         allowed += static_cast<double>(message_.released_bytes()) / limits_.source_rate - source_wait_;
-    return allowed - (callbacks_.now() - waiting_since);
+    const double silent_for = callbacks_.now() - waiting_since;
+    const double time_left = allowed - silent_for;
+    if (!callbacks_.source_time_left)
+        return time_left;
+    const relay_waits waits = {
+        .for_source = source_wait_ + silent_for, .silent_for = silent_for, .for_sink = sink_wait_};
+    return std::min(time_left, callbacks_.source_time_left(waits));
 }
 
 } // namespace
--- a/src/proxy/client/body_relay.hpp
+++ b/src/proxy/client/body_relay.hpp
@@ -33,11 +33,20 @@
     bool carries_request = false;   // ends early if the sink responds or the source disconnects
 };
 
+// The waits of a relay, in seconds.
+struct relay_waits {
+    double for_source = 0; // in total
+    double silent_for = 0; // in the current wait for the source
+    double for_sink = 0;   // in total
+};
+
 // What a relay asks its owner, in the thread of the relay. Times are Unix times in seconds.
 struct relay_callbacks {
     std::function<double()> now;
     std::function<double()> deadline;   // time by which the relay must end; may change between two calls
     std::function<bool()> is_cancelled; // asked before each wait, and before the end of a request is written
+    // Seconds for which the source may stay silent from now on; empty: only the limits bind.
+    std::function<double(const relay_waits &)> source_time_left = {};
 };
 
 // How a relay ended.
--- a/src/proxy/client/response_writer.cpp
+++ b/src/proxy/client/response_writer.cpp
@@ -5,6 +5,7 @@
 #include "proxy/client/body_relay.hpp"
 #include "proxy/request/active_request.hpp"
 #include "proxy/request/protocol.hpp"
+#include "router/response_stall.hpp"
 
 #include <sys/socket.h>
 
@@ -145,14 +146,26 @@
     if (!write_all(request_.client.socket, streamed_head(response, body_framing), {}, sink_pause_limit))
         return finish_forwarding(relay_result::sink_broken, body_framing);
     const relay_limits limits = {.source_timeout = source_pause_limit, .sink_timeout = sink_pause_limit};
-    const relay_callbacks callbacks = {.now = [&] { return routing.now(); },
-                                       .deadline = [&] { return request_.stop_deadline(); },
-                                       .is_cancelled = [] { return false; }};
+    const relay_callbacks callbacks = {
+        .now = [&] { return routing.now(); },
+        .deadline = [&] { return request_.stop_deadline(); },
+        .is_cancelled = [] { return false; },
+        .source_time_left =
+            [&](const relay_waits &waits) { return remaining_silence(progress_of(response, waits)); }};
     const auto relayed =
         relay_body(response, upstream, request_.client.socket, body_framing, limits, callbacks);
     return finish_forwarding(relayed, body_framing);
 }
 
+forwarded_response response_writer::progress_of(const http_reader &response, const relay_waits &waits) const {
+    const double now = request_.context.routing.now();
+    return {.is_long = response.announced_body_bytes() > max_body_size,
+            .received = response.received_body_bytes(),
+            .waited = waits.for_source,
+            .silent_for = waits.silent_for,
+            .past_deadline = now - request_.deadline - waits.for_sink};
+}
+
 std::string response_writer::streamed_head(const http_reader &response, framing body_framing) const {
     std::string framing_field;
     if (body_framing == framing::counted)
--- a/src/proxy/client/response_writer.hpp
+++ b/src/proxy/client/response_writer.hpp
@@ -13,11 +13,13 @@
 namespace harrierpass {
 class http_reader;
 class tcp_socket;
+struct forwarded_response;
 } // namespace harrierpass
 
 namespace harrierpass::proxy {
 
 struct active_request;
+struct relay_waits;
 enum class framing : std::uint8_t;
 enum class relay_result : std::uint8_t;
 
@@ -85,6 +87,8 @@
     close_reason close_after_response();
     // The head of a streamed response.
     std::string streamed_head(const http_reader &response, framing body_framing) const;
+    // The progress of a streamed response.
+    forwarded_response progress_of(const http_reader &response, const relay_waits &waits) const;
     // Translates the result of the relay and updates the request and the connection.
     forward_result finish_forwarding(relay_result relayed, framing body_framing);
 
--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -206,8 +206,10 @@
         return false;
     if (window_full)
         return true;
-    if (const auto length = response_.content_length())
-        return *length > max_body_size;
+    if (response_.announced_body_bytes() > max_body_size)
+        return true;
+    if (response_.content_length())
+        return false;
     const std::size_t received = response_.body().size();
     return received >= streaming_threshold ||
            (received > 0 && context_.routing.now() > response_head_at_.value_or(0) + streaming_delay);
--- a/src/router/response_stall.hpp
+++ b/src/router/response_stall.hpp
@@ -4,6 +4,8 @@
 // is given up only where a retry can still answer the request. Times are in seconds.
 #pragma once
 
+#include <cstddef>
+
 namespace harrierpass {
 
 /// The progress of a response that has begun and is not complete.
@@ -15,6 +17,24 @@
     bool retried_stall = false; ///< An earlier attempt of the request was given up for its silence.
 };
 
+/// A response that is forwarded to its client while it arrives.
+struct forwarded_response {
+    /// The endpoint has announced or sent more than the longest body whose last byte has to be in time. Of a
+    /// longer body only the beginning has.
+    bool is_long = false;
+    std::size_t received = 0; ///< Bytes of the body.
+    double waited = 0;        ///< Time spent waiting for the endpoint since the forwarding began.
+    double silent_for = 0;    ///< The latest part of `waited`, without a byte from the endpoint.
+    /// Time since the deadline of the request, without the time spent waiting for the client; may be
+    /// negative.
+    double past_deadline = 0;
+};
+
+/// Time for which the endpoint may stay silent from now on. When it has passed, the response is given up, so
+/// that the client has a final answer. Infinite for a long body that has begun: the deadline does not bind
+/// it.
+[[nodiscard]] double remaining_silence(const forwarded_response &response);
+
 /// Time without progress after which a response has stalled.
 [[nodiscard]] double response_stall_limit(double latency_objective);
 
--- a/tests/proxy/body_relay_test.cpp
+++ b/tests/proxy/body_relay_test.cpp
@@ -33,7 +33,8 @@
     relay_result run() {
         const relay_callbacks callbacks = {.now = steady_now,
                                            .deadline = [this] { return deadline; },
-                                           .is_cancelled = [this] { return is_cancelled(); }};
+                                           .is_cancelled = [this] { return is_cancelled(); },
+                                           .source_time_left = source_time_left};
         return relay_body(message, source.proxy_end, sink.proxy_end, framing::counted, limits, callbacks);
     }
 
@@ -43,6 +44,7 @@
     relay_limits limits = {.source_timeout = 5, .sink_timeout = 5, .carries_request = true};
     double deadline = steady_now() + time_limit;
     std::function<bool()> is_cancelled = [] { return false; };
+    std::function<double(const relay_waits &)> source_time_left = {};
 };
 
 } // namespace
@@ -114,4 +116,21 @@
     CHECK(steady_now() < started + relay.limits.sink_timeout / 2);
 }
 
+// The owner decides how long the source may stay silent. Bytes that came while the sink accepted nothing are
+// read even if that time has passed meanwhile.
+TEST_CASE("body relay: a source whose time is over is read once more before it is given up") {
+    relay_fixture relay;
+    relay.limits.carries_request = false;
+    relay.deadline = steady_now() + relay.limits.source_timeout;
+    relay.source_time_left = [](const relay_waits &) { return -1.0; };
+    relay.source.send_from_peer(std::string(missing_size, 'v'));
+    CHECK(relay.run() == relay_result::complete);
+
+    relay_fixture silent;
+    silent.limits.carries_request = false;
+    silent.deadline = steady_now() + silent.limits.source_timeout;
+    silent.source_time_left = [](const relay_waits &waits) { return time_limit - waits.for_source; };
+    CHECK(silent.run() == relay_result::source_slow);
+}
+
 } // namespace harrierpass::proxy
--- a/tests/proxy/slow_response_test.cpp
+++ b/tests/proxy/slow_response_test.cpp
@@ -65,9 +65,12 @@
     return {body.size(), length != std::string::npos && std::stoul(head.substr(length + 18)) == body.size()};
 }
 
-// Several endpoints that follow one plan, discovery, and a proxy process in front of them.
+// Several endpoints that write their responses in one way, discovery, and a proxy process in front of them.
 struct slow_endpoints_fixture {
-    explicit slow_endpoints_fixture(response_plan followed_plan) : plan(std::move(followed_plan)) {
+    explicit slow_endpoints_fixture(const response_plan &plan)
+        : slow_endpoints_fixture([plan](int fd) { write_slowly(fd, plan); }) {}
+    explicit slow_endpoints_fixture(std::function<void(int fd)> write_response)
+        : write_slow_response(std::move(write_response)) {
         for (std::size_t i = 0; i < endpoint_count; ++i)
             endpoints.emplace_back([this](int fd) { handle(fd); });
         std::string members;
@@ -88,7 +91,7 @@
             std::this_thread::yield();
     }
     ~slow_endpoints_fixture() {
-        proxy.reset();
+        proxy.reset(); // ends the connections
         std::remove(path.c_str());
     }
     slow_endpoints_fixture(const slow_endpoints_fixture &) = delete;
@@ -108,20 +111,21 @@
             return;
         }
         ++slow_attempts;
-        write_slowly(fd, plan);
+        write_slow_response(fd);
     }
     // Sends a request and returns the response up to the end of its connection.
-    std::string request(const std::string &class_name, const std::string &key) const {
+    std::string request(const std::string &class_name, const std::string &key,
+                        const std::string &deadline = "2500m") const {
         tcp_socket client(test::connect_to_port(port));
         const timeval limit{4, 0};
         ::setsockopt(client.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-        std::string text = make_request(class_name, key);
+        std::string text = make_request(class_name, key, deadline);
         text.insert(text.find("X-Class"), "Connection: close\r\n");
         test::send_all(client.get(), text);
         return test::read_to_end(client.get());
     }
 
-    response_plan plan;
+    std::function<void(int fd)> write_slow_response;
     std::atomic<int> slow_attempts = 0;
     proxy_fixture fixture{{.discovery_silent = true, .start_proxy = false}};
     std::list<test::raw_endpoint> endpoints;
@@ -133,6 +137,46 @@
 };
 
 constexpr const char *chunked = "Transfer-Encoding: chunked\r\n";
+constexpr const char *counted = "Content-Length: 120000\r\n";
+const std::string by_close;
+
+// The time of the requests below and the limits that follow from it, in seconds.
+constexpr const char *short_deadline = "800m";
+constexpr double final_answer_limit = 0.8 + 0.5;
+
+// How an endpoint writes a body in equal pieces.
+struct piece_plan {
+    std::string name;
+    std::string framing_field;  // a header line; empty: the response ends with its connection
+    std::size_t piece_size;     // bytes
+    std::size_t piece_count;    // with is_endless, the pieces before the endpoint falls silent
+    double before_first, pause; // s
+    bool is_endless = false;    // the end of the body never comes
+};
+
+void wait_for(double seconds) {
+    std::this_thread::sleep_for(std::chrono::duration<double>(seconds));
+}
+
+// Whether the peer still has its connection open.
+bool is_open(int fd) {
+    char byte = 0;
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+void write_pieces(int fd, const piece_plan &plan) {
+    test::send_all(fd, "HTTP/1.1 200 OK\r\n" + plan.framing_field + "\r\n");
+    wait_for(plan.before_first);
+    const response_plan piece = {{}, plan.framing_field, plan.piece_size + 1, 0};
+    for (std::size_t i = 0; i < plan.piece_count && is_open(fd); ++i) {
+        write_body(fd, piece, plan.piece_size);
+        wait_for(plan.pause);
+    }
+    if (plan.is_endless)
+        test::read_to_end(fd); // until the proxy closes
+    else if (plan.framing_field == chunked)
+        test::send_all(fd, "0\r\n\r\n");
+}
 
 } // namespace
 
@@ -183,4 +227,54 @@
     }
 }
 
+// Guards against a client that waits for seconds after its time because the response that it was promised
+// never ends (review/10).
+TEST_CASE("slow responses: a response that never ends is given up within half a second after its time") {
+    const std::size_t many = 60;
+    for (const piece_plan &plan : {piece_plan{"silent, chunked", chunked, 100, 2, 0, 0.15, true},
+                                   piece_plan{"silent, by close", by_close, 100, 2, 0, 0.15, true},
+                                   piece_plan{"begun late, chunked", chunked, 2000, 1, 0.6, 0, true},
+                                   piece_plan{"trickling, chunked", chunked, 100, many, 0, 0.05, true},
+                                   piece_plan{"trickling, by close", by_close, 100, many, 0, 0.05, true}}) {
+        CAPTURE(plan.name);
+        const slow_endpoints_fixture fixture([&](int fd) { write_pieces(fd, plan); });
+        const double sent_at = steady_now();
+        const std::string response = fixture.request("bill", "slow", short_deadline);
+        CHECK(steady_now() - sent_at < final_answer_limit);
+        CHECK(response.starts_with("HTTP/1.1 200"));
+        CHECK_FALSE(body_of(response).is_whole);
+    }
+}
+
+// Guards against the same limit being applied to a body over 64 KiB, of which only the beginning has to be in
+// time.
+TEST_CASE("slow responses: a long response that ends long after its time is forwarded whole") {
+    for (const piece_plan &plan : {piece_plan{"chunked", chunked, 20000, 6, 0, 0.4},
+                                   piece_plan{"by close", by_close, 20000, 6, 0, 0.4},
+                                   piece_plan{"counted", counted, 20000, 6, 0, 0.4},
+                                   piece_plan{"late, chunked", chunked, 30000, 4, 0.6, 0.7},
+                                   piece_plan{"late, by close", by_close, 30000, 4, 0.6, 0.7},
+                                   piece_plan{"late, counted", counted, 30000, 4, 1.4, 0.5},
+                                   piece_plan{"in two pieces, counted", counted, 60000, 2, 0, 3}}) {
+        CAPTURE(plan.name);
+        const slow_endpoints_fixture fixture([&](int fd) { write_pieces(fd, plan); });
+        const std::string response = fixture.request("bill", "slow", short_deadline);
+        CHECK(response.starts_with("HTTP/1.1 200"));
+        CHECK(body_of(response).size == long_size);
+        CHECK(body_of(response).is_whole);
+    }
+}
+
+// An endpoint that announces a chunk of more than 64 KiB may write it as slowly as a counted body.
+TEST_CASE("slow responses: a chunk whose size line announces a long body is forwarded whole") {
+    const slow_endpoints_fixture fixture([](int fd) {
+        test::send_all(fd, std::string("HTTP/1.1 200 OK\r\n") + chunked + "\r\n1d4c0\r\nvvv");
+        wait_for(2);
+        test::send_all(fd, std::string(long_size - 3, 'v') + "\r\n0\r\n\r\n");
+    });
+    const std::string response = fixture.request("bill", "slow", short_deadline);
+    CHECK(body_of(response).size == long_size);
+    CHECK(body_of(response).is_whole);
+}
+
 } // namespace harrierpass::proxy
