A connection is used again only if the request on it was written whole

Cause: a response that comes during an upload ends the upload, and the connection went back to the pool with a part of the body missing: end_connection() asked whether the response was whole, not whether the request was.

Change: is_connection_reusable() asks for both messages. A connection whose request was cut short closes, with the reason request_incomplete.

--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -87,8 +87,12 @@
     if (write.status == io_status::failed ||
         !write_all(connection_.socket, head, body, write.deadline - context_.routing.now()))
         return {outcome::connect_error, upstream_close_reason::write_failed};
-    if (request_.streams_body)
-        return body_upload(request_, message_).run(connection_.socket);
+    if (request_.streams_body) {
+        const attempt_result result = body_upload(request_, message_).run(connection_.socket);
+        request_written_ = request_.body_forwarded;
+        return result;
+    }
+    request_written_ = true;
     context_.metrics.attempt_sent();
     return {outcome::timed_out, upstream_close_reason::timed_out};
 }
@@ -266,9 +270,7 @@
 void upstream_attempt::end_connection(const attempt_result &result) {
     auto &upstreams = context_.upstreams;
     const double now = context_.routing.now();
-    const bool reusable =
-        !result.reason && response_.head().keeps_alive() && response_.pipelined_bytes().empty();
-    if (reusable) {
+    if (!result.reason && is_connection_reusable()) {
         upstreams.release(std::move(connection_), now);
         return;
     }
@@ -276,8 +278,16 @@
     // its other connections itself.
     if (result.result == outcome::canceled)
         upstreams.close_idle_of(decision_.endpoint, now, upstream_close_reason::suspect);
-    const auto reason = result.reason.value_or(upstream_close_reason::closed_by_endpoint);
+    const auto reason = result.reason.value_or(request_written_ ? upstream_close_reason::closed_by_endpoint
+                                                                : upstream_close_reason::request_incomplete);
     upstreams.close_connection(std::move(connection_), now, reason);
 }
 
+// An endpoint may respond before the last byte of a request. It takes what comes next on the connection for
+// the rest of that request (RFC 9112, section 9.3).
+bool upstream_attempt::is_connection_reusable() const {
+    return request_written_ && response_.is_complete() && response_.head().keeps_alive() &&
+           response_.pipelined_bytes().empty();
+}
+
 } // namespace harrierpass::proxy
--- a/src/proxy/request/upstream_attempt.hpp
+++ b/src/proxy/request/upstream_attempt.hpp
@@ -67,6 +67,9 @@
     void log_end(const attempt_result &result) const;
     // Releases the connection for reuse, or closes it.
     void end_connection(const attempt_result &result);
+    // Returns whether the request and its response have passed completely, so that the next request on the
+    // connection is understood as one.
+    bool is_connection_reusable() const;
 
     active_request &request_;
     proxy_context &context_;
@@ -78,6 +81,7 @@
     double last_received_at_ = 0;            // last progress of the response; Unix time in seconds
     std::optional<double> response_head_at_; // arrival of the head; Unix time in seconds
     bool pause_reported_ = false;
+    bool request_written_ = false; // the endpoint was sent the last byte of the request
 };
 
 } // namespace harrierpass::proxy
--- a/src/proxy/upstream/upstream_close_reason.hpp
+++ b/src/proxy/upstream/upstream_close_reason.hpp
@@ -27,6 +27,7 @@
     shutting_down,       // a planned stop left no time for the rest of the response
     invariant,           // the response would have violated an invariant
     closed_by_endpoint,  // the response contained "Connection: close"
+    request_incomplete,  // the endpoint responded before the last byte of the request was written
     suspect,             // idle, and an attempt at the endpoint was canceled or a health check failed
     stale,               // idle for too long, closed by the endpoint, or older than the endpoint's process
     reclaimed,           // idle, and its file descriptor was needed
@@ -36,11 +37,11 @@
 };
 
 // Values of the log field `reason`, by upstream_close_reason; the operators' documentation lists them.
-inline constexpr std::array<const char *, 23> upstream_close_reason_texts = {
+inline constexpr std::array<const char *, 24> upstream_close_reason_texts = {
     "client_left", "client_cut",   "out_of_time", "own_shortage", "dial_failed",   "out",
     "outdated",    "write_failed", "timed_out",   "called_off",   "stalled",       "reset",
-    "long",        "spoilt",       "draining",    "invariant",    "server_closes", "suspect",
-    "stale",       "reclaimed",    "gone",        "probed",       "probe_failed"};
+    "long",        "spoilt",       "draining",    "invariant",    "server_closes", "request_incomplete",
+    "suspect",     "stale",        "reclaimed",   "gone",         "probed",        "probe_failed"};
 
 // Returns the value in the log.
 constexpr const char *log_text(upstream_close_reason reason) {
