--- a/tests/router/response_stall_test.cpp
+++ b/tests/router/response_stall_test.cpp
@@ -51,7 +51,7 @@
 }
 
 TEST_CASE("response stall: a body of unknown length may go on while it comes as fast as long ones do") {
-    const std::size_t one_second_in_hand = 16384 * 3;
+    const std::size_t one_second_in_hand = 16384UL * 3;
     CHECK(remaining_silence({.received = one_second_in_hand, .waited = 2, .past_deadline = 1}) ==
           doctest::Approx(1));
     CHECK(remaining_silence(
