Connection reuse test: a read is counted before its response is sent

Cause: the test's endpoint counted a read after it had sent the response, so that the check of the count could come first. Seen once with the sanitizers beside other load: "reads == 1" failed where the read had its 200.

Change: the count comes first; the check is the same.

--- a/tests/proxy/connection_reuse_test.cpp
+++ b/tests/proxy/connection_reuse_test.cpp
@@ -25,8 +25,8 @@
         ++connections;
         for (std::string head; !(head = test::read_head(fd)).empty();) {
             if (head.starts_with("GET")) {
-                test::send_all(fd, ok_response("value"));
                 ++reads;
+                test::send_all(fd, ok_response("value"));
                 continue;
             }
             if (responds_early_)
