Request ids are known to both processes of an upgrade

Cause: the ids that are active and those that may have been executed were kept by each process for itself.

Change: one lock-free table, request_id_table, takes the place of active_request_ids and executed_request_ids. With a control address and $TMPDIR it lies in a file that the processes of a proxy map (request_id_file). No request waits for another process. An id of a process that has ended counts as executed for 60 s if it was sent and must not run twice, and is free otherwise.

--- a/src/proxy/request/active_request.hpp
+++ b/src/proxy/request/active_request.hpp
@@ -69,7 +69,7 @@
 
     // Progress and result.
     request_handle handle;                         // identifies the request at the dispatcher
-    active_request_ids::id_lease id_lease;         // keeps other active requests from using the same id
+    request_id_table::id_lease id_lease;           // keeps other active requests from using the same id
     request_metrics::scoped_request metrics_scope; // exists while the request counts as active
     bool counted_as_active = false;
     bool body_forwarded = false;               // a streamed body has been forwarded completely
--- a/src/proxy/request/proxy_context.hpp
+++ b/src/proxy/request/proxy_context.hpp
@@ -7,10 +7,9 @@
 #include "base/log.hpp"
 #include "net/buffer_pool.hpp"
 #include "proxy/operations/request_metrics.hpp"
-#include "proxy/request/active_request_ids.hpp"
 #include "proxy/request/dispatcher.hpp"
-#include "proxy/request/executed_request_ids.hpp"
 #include "proxy/request/request_guard.hpp"
+#include "proxy/request/request_id_table.hpp"
 #include "proxy/upstream/upstream_pool.hpp"
 
 #include <atomic>
@@ -29,8 +28,7 @@
     log &logger;
     request_metrics &metrics;
     std::function<bool()> ready; // whether the proxy has an endpoint list
-    active_request_ids ids = {};
-    executed_request_ids executed_ids = {};
+    request_id_table ids = {};
     invariant_monitor invariants{counts, logger};
 
     // The schedule of a planned stop. Each time is set once, so that later changes of the settings do not
--- a/src/proxy/request/request_session.cpp
+++ b/src/proxy/request/request_session.cpp
@@ -2,6 +2,7 @@
 #include "proxy/request/request_session.hpp"
 
 #include "net/http.hpp"
+#include "net/threads.hpp"
 #include "proxy/client/body_relay.hpp"
 #include "proxy/client/request_reader.hpp"
 #include "proxy/client/response_writer.hpp"
@@ -176,11 +177,10 @@
 // Returns empty if the request may be submitted to the router. Endpoints cannot distinguish two requests with
 // the same id, so that the effect of the second one could be attributed to the first.
 std::optional<rejection_reason> request_session::admission_rejection() {
-    request_.id_lease = context_.ids.acquire(request_.id);
-    if (!request_.id_lease)
-        return rejection_reason::id_in_use;
-    if (context_.executed_ids.contains(request_.id, request_.received_at))
-        return rejection_reason::id_executed;
+    auto [lease, conflict] = context_.ids.acquire(request_.id, steady_now());
+    if (conflict)
+        return *conflict == id_conflict::active ? rejection_reason::id_in_use : rejection_reason::id_executed;
+    request_.id_lease = std::move(lease);
     context_.counts.add(counter::requests);
     if (client_.over_capacity)
         return rejection_reason::too_many_connections;
@@ -355,7 +355,7 @@
                                decision != close_reason::response_not_delivered &&
                                peek(client_.socket) != peek_result::reset;
     if (!was_delivered)
-        context_.executed_ids.add(request_.id, context_.routing.now());
+        context_.ids.remember_executed(request_.id, steady_now());
 }
 
 // Serves a request and releases its resources, including its buffer.
--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -105,9 +105,12 @@
     write.deadline =
         std::min(context_.routing.attempt_write_deadline(request_.handle), request_.effective_deadline());
     const double now = context_.routing.now();
-    if (now < write.deadline && context_.upstreams.leads_to_endpoint(connection_) &&
-        request_.guard.may_start_attempt(now, time_left))
-        write.status = write_some(connection_.socket, head, body).status;
+    if (now >= write.deadline || !context_.upstreams.leads_to_endpoint(connection_) ||
+        !request_.guard.may_start_attempt(now, time_left))
+        return write;
+    if (request_.class_settings().effect != effect_kind::idempotent)
+        request_.id_lease.mark_sent();
+    write.status = write_some(connection_.socket, head, body).status;
     return write;
 }
 
--- a/src/proxy/service.cpp
+++ b/src/proxy/service.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdlib>
+#include <cstring>
 #include <malloc.h>
 #include <system_error>
 #include <thread>
@@ -77,6 +78,7 @@
     const char *const directory = std::getenv("TMPDIR");
     if (configuration_.control_address.empty() || directory == nullptr || *directory == '\0')
         return {};
+    share_request_ids(directory);
     hot_restart_.emplace(directory, configuration_.listen_address);
     auto handover = hot_restart_->take_over();
     if (!handover)
@@ -93,6 +95,14 @@
     return std::move(socket);
 }
 
+void service::share_request_ids(const std::string &directory) {
+    request_ids_ = request_id_file::open(directory, configuration_.listen_address);
+    if (request_ids_)
+        context_.ids.share(request_ids_->storage(), steady_now());
+    else
+        log_.warning("request-ids-not-shared error=", std::strerror(errno));
+}
+
 tcp_socket service::listen(const address &configured_address) {
     const double deadline = steady_now() + listen_timeout;
     for (;;) {
@@ -241,6 +251,8 @@
     const auto limits = client_limits_for(configuration_, remaining, peers);
     upstream_.set_capacity(remaining, dispatcher_.now());
     listener_->set_capacity(limits.max_connections, limits.reclaim_threshold);
+    if (!peers.has_peers)
+        context_.ids.end_orphaned_leases(steady_now());
 }
 
 // Takes the earlier kill time of the configuration in force and of a pending one that waits for its endpoint
--- a/src/proxy/service.hpp
+++ b/src/proxy/service.hpp
@@ -7,6 +7,7 @@
 #include "proxy/discovery/discovery_client.hpp"
 #include "proxy/operations/control_server.hpp"
 #include "proxy/operations/hot_restart.hpp"
+#include "proxy/operations/request_id_file.hpp"
 #include "proxy/operations/stop_schedule.hpp"
 #include "proxy/program.hpp" // run(), for files that include only this header
 #include "proxy/upstream/health_checker.hpp"
@@ -64,6 +65,8 @@
     // Takes over the listening socket and the operators' state from a running process of this proxy. Returns
     // an empty socket if no process hands one over.
     tcp_socket take_over(const address &configured_address);
+    // Shares the request ids with the other processes of this proxy that use the directory.
+    void share_request_ids(const std::string &directory);
     // Opens a listening socket; retries for listen_timeout. Throws std::system_error.
     tcp_socket listen(const address &configured_address);
     // Starts all threads. `inherited`: the listening socket was taken over from another process.
@@ -102,6 +105,7 @@
     upstream_pool upstream_;
     discovery_client discovery_;
     health_checker health_checker_;
+    std::unique_ptr<request_id_file> request_ids_; // null: the ids are not shared with other processes
     proxy_context context_;
     address listen_address_;
     std::atomic<bool> stopped_ = false;   // the threads have to stop
--- a/tests/support/helpers.hpp
+++ b/tests/support/helpers.hpp
@@ -340,6 +340,12 @@
         const std::lock_guard guard(mutex_);
         return requests_.empty() ? "" : requests_.back();
     }
+    // Number of requests that contain this text.
+    std::size_t count_received(const std::string &text) {
+        const std::lock_guard guard(mutex_);
+        return static_cast<std::size_t>(std::ranges::count_if(
+            requests_, [&](const auto &request) { return request.find(text) != request.npos; }));
+    }
     // Whether any request contains this text.
     bool has_received(const std::string &text) {
         const std::lock_guard guard(mutex_);
