Whether a request's body is complete is one question for both connections

Change: active_request::body_is_complete() serves the endpoint's connection, the client's connection and the lingering close; the flag is gone. Behaviour is as before.

--- a/src/proxy/request/active_request.cpp
+++ b/src/proxy/request/active_request.cpp
@@ -33,9 +33,8 @@
 }
 
 bool active_request::may_keep_connection() const {
-    const bool body_was_read = !streams_body || body_forwarded;
     const bool accepts_requests = !context.is_closing() && !context.is_disabled() && !context.handed_over;
-    return keep_connection && !client.closes_after_response && accepts_requests && body_was_read;
+    return keep_connection && !client.closes_after_response && accepts_requests && body_is_complete();
 }
 
 void active_request::count_as_active() {
--- a/src/proxy/request/active_request.hpp
+++ b/src/proxy/request/active_request.hpp
@@ -37,6 +37,9 @@
     // connect, the proxy would otherwise send requests whose clients disconnected long before.
     bool detect_client_left();
 
+    // Returns whether the whole body was read from the client and, if it is streamed, written to an endpoint.
+    // Otherwise the rest of it is still due on both connections.
+    bool body_is_complete() const { return !streams_body || body_forwarded; }
     // Returns whether the client's connection may stay open after the response.
     bool may_keep_connection() const;
 
--- a/src/proxy/request/request_session.cpp
+++ b/src/proxy/request/request_session.cpp
@@ -92,7 +92,7 @@
     http_reader message(whole_buffer(buffer_), http_reader::message_kind::request,
                         std::exchange(client_.filled, 0));
     const close_decision decision = process(message);
-    if (request_.streams_body && !request_.body_forwarded && client_.lingering.max_bytes > 0)
+    if (!request_.body_is_complete() && client_.lingering.max_bytes > 0)
         client_.lingering = upload_linger;
     if (!decision)
         keep_pipelined_bytes(message);
--- a/src/proxy/request/upstream_attempt.cpp
+++ b/src/proxy/request/upstream_attempt.cpp
@@ -87,12 +87,8 @@
     if (write.status == io_status::failed ||
         !write_all(connection_.socket, head, body, write.deadline - context_.routing.now()))
         return {outcome::connect_error, upstream_close_reason::write_failed};
-    if (request_.streams_body) {
-        const attempt_result result = body_upload(request_, message_).run(connection_.socket);
-        request_written_ = request_.body_forwarded;
-        return result;
-    }
-    request_written_ = true;
+    if (request_.streams_body)
+        return body_upload(request_, message_).run(connection_.socket);
     context_.metrics.attempt_sent();
     return {outcome::timed_out, upstream_close_reason::timed_out};
 }
@@ -281,15 +277,15 @@
     // its other connections itself.
     if (result.result == outcome::canceled)
         upstreams.close_idle_of(decision_.endpoint, now, upstream_close_reason::suspect);
-    const auto reason = result.reason.value_or(request_written_ ? upstream_close_reason::closed_by_endpoint
-                                                                : upstream_close_reason::request_incomplete);
-    upstreams.close_connection(std::move(connection_), now, reason);
+    const auto unusable = request_.body_is_complete() ? upstream_close_reason::closed_by_endpoint
+                                                      : upstream_close_reason::request_incomplete;
+    upstreams.close_connection(std::move(connection_), now, result.reason.value_or(unusable));
 }
 
 // An endpoint may respond before the last byte of a request. It takes what comes next on the connection for
 // the rest of that request (RFC 9112, section 9.3).
 bool upstream_attempt::is_connection_reusable() const {
-    return request_written_ && response_.is_complete() && response_.head().keeps_alive() &&
+    return request_.body_is_complete() && response_.is_complete() && response_.head().keeps_alive() &&
            response_.pipelined_bytes().empty();
 }
 
--- a/src/proxy/request/upstream_attempt.hpp
+++ b/src/proxy/request/upstream_attempt.hpp
@@ -81,7 +81,6 @@
     double last_received_at_ = 0;            // last progress of the response; Unix time in seconds
     std::optional<double> response_head_at_; // arrival of the head; Unix time in seconds
     bool pause_reported_ = false;
-    bool request_written_ = false; // the endpoint was sent the last byte of the request
 };
 
 } // namespace harrierpass::proxy
