Request id table: what an entry says is decided in one place

Cause: two loops of request_id_table decided each for itself which entries count, and the end of a lease of an ended process asked twice whether the process has ended, by a system call for each slot the second time. A comment told of expired entries that nothing replaced there.

Change: conflict_of() serves both loops; end_lease() ends a lease that the caller has found to be orphaned. What is acquired, refused and remembered is as before.

Measured: the cases "request id*" pass, on processes too.

--- a/src/proxy/request/request_id_table.cpp
+++ b/src/proxy/request/request_id_table.cpp
@@ -3,8 +3,6 @@
 
 #include "router/router.hpp"
 
-#include <cmath>
-
 namespace harrierpass::proxy {
 namespace {
 
@@ -58,6 +56,15 @@
     return left <= retention_ticks ? left : 0;
 }
 
+// What an entry says to another request with its id; empty: the slot is free.
+std::optional<id_conflict> conflict_of(std::uint64_t word, std::uint32_t now) {
+    if (is_leased(word))
+        return id_conflict::active;
+    if (kind_of(word) == entry_kind::executed && ticks_left(word, now) > 0)
+        return id_conflict::executed;
+    return std::nullopt;
+}
+
 std::uint32_t to_ticks(double now) {
     return static_cast<std::uint32_t>(static_cast<std::uint64_t>(now * ticks_per_second));
 }
@@ -91,10 +98,7 @@
     return is_leased(word) && owner_of(word) != storage_.owner && storage_.has_ended(owner_of(word));
 }
 
-std::uint64_t request_id_table::read(std::size_t slot, std::uint32_t now) {
-    const std::uint64_t word = load(slot);
-    if (!is_orphaned(word))
-        return word;
+std::uint64_t request_id_table::end_lease(std::size_t slot, std::uint64_t word, std::uint32_t now) {
     const bool was_sent = kind_of(word) == entry_kind::leased_sent;
     exchange(slot, word, was_sent ? executed_word(tag_of(word), now) : 0);
     return load(slot);
@@ -105,17 +109,14 @@
     std::uint32_t least_left = retention_ticks + 1;
     for (std::size_t slot = wanted.first_slot; slot < wanted.first_slot + slots_per_bucket; ++slot) {
         std::uint64_t word = load(slot);
-        if (tag_of(word) == wanted.tag)
-            word = read(slot, now);
-        const bool has_id = tag_of(word) == wanted.tag;
-        if (is_leased(word)) {
-            if (has_id)
-                result.conflict = id_conflict::active;
+        if (tag_of(word) == wanted.tag && is_orphaned(word))
+            word = end_lease(slot, word, now);
+        const auto conflict = conflict_of(word, now);
+        if (tag_of(word) == wanted.tag && conflict && result.conflict != id_conflict::active)
+            result.conflict = conflict;
+        if (conflict == id_conflict::active)
             continue;
-        }
-        const std::uint32_t left = kind_of(word) == entry_kind::executed ? ticks_left(word, now) : 0;
-        if (has_id && left > 0 && !result.conflict)
-            result.conflict = id_conflict::executed;
+        const std::uint32_t left = conflict ? ticks_left(word, now) : 0;
         if (left < least_left) {
             least_left = left;
             result.free_slot = slot;
@@ -128,9 +129,7 @@
 bool request_id_table::has_other_entry(const key &wanted, std::size_t own_slot, std::uint32_t now) {
     for (std::size_t slot = wanted.first_slot; slot < wanted.first_slot + slots_per_bucket; ++slot) {
         const std::uint64_t word = load(slot);
-        if (slot == own_slot || tag_of(word) != wanted.tag)
-            continue;
-        if (is_leased(word) || (kind_of(word) == entry_kind::executed && ticks_left(word, now) > 0))
+        if (slot != own_slot && tag_of(word) == wanted.tag && conflict_of(word, now))
             return true;
     }
     return false;
@@ -175,7 +174,7 @@
     for (std::size_t slot = 0; slot < slot_count; ++slot) {
         const std::uint64_t word = load(slot);
         if (is_leased(word) && (ended >> owner_of(word) & 1U) != 0)
-            static_cast<void>(read(slot, ticks));
+            end_lease(slot, word, ticks);
     }
 }
 
--- a/src/proxy/request/request_id_table.hpp
+++ b/src/proxy/request/request_id_table.hpp
@@ -122,8 +122,8 @@
     };
 
     static key key_of(std::string_view id);
-    // The entry in a slot; entries of ended processes and expired ones are replaced first.
-    std::uint64_t read(std::size_t slot, std::uint32_t now);
+    // Ends the lease of a process that has ended; returns what the slot contains then.
+    std::uint64_t end_lease(std::size_t slot, std::uint64_t word, std::uint32_t now);
     lookup look_up(const key &wanted, std::uint32_t now);
     // Whether another slot than `own_slot` has an entry of the id.
     bool has_other_entry(const key &wanted, std::size_t own_slot, std::uint32_t now);
