Body relay: the time left for the source is asked once a turn

Change: the answer from before the wait decides after it; a source whose time ends during a wait is looked at once more, without a pause, in the next turn.

Measured: the cases "body relay" pass.

--- a/src/proxy/client/body_relay.cpp
+++ b/src/proxy/client/body_relay.cpp
@@ -159,12 +159,13 @@
         if (const auto failed = check_cancelled_or_late())
             return failed;
         const double until_deadline = callbacks_.deadline() - callbacks_.now();
-        const double time_left = std::max(0.0, source_time_left(waiting_since));
+        const double time_left = source_time_left(waiting_since);
         const short sink_events = limits_.carries_request ? POLLIN : 0;
         std::array<pollfd, 2> sockets = {{{source_.get(), POLLIN, 0}, {sink_.get(), sink_events, 0}}};
-        if (wait_on(sockets, std::min({missed_wakeup_limit, time_left, until_deadline})) <= 0) {
+        if (wait_on(sockets, std::min({missed_wakeup_limit, std::max(0.0, time_left), until_deadline})) <=
+            0) {
             // Only now, as bytes that came while the sink was written to count as well.
-            if (source_time_left(waiting_since) <= 0)
+            if (time_left <= 0)
                 return relay_result::source_slow;
             continue;
         }
