Request id file: errno tells of a foreign file only where there is one

Cause: the check of the owner set errno for a file that passed it, too, which a later reader could take for the reason of another failure.

Change: errno is set where the check fails. What is accepted is as before.

Measured: the cases "request id file" pass.

--- a/src/proxy/operations/request_id_file.cpp
+++ b/src/proxy/operations/request_id_file.cpp
@@ -41,8 +41,10 @@
     struct stat status {};
     if (::fstat(file.get(), &status) != 0)
         return false;
-    errno = EPERM;
-    return S_ISREG(status.st_mode) && status.st_uid == ::geteuid();
+    const bool is_own = S_ISREG(status.st_mode) && status.st_uid == ::geteuid();
+    if (!is_own)
+        errno = EPERM;
+    return is_own;
 }
 
 } // namespace
