--- a/tests/proxy/connection_reuse_test.cpp
+++ b/tests/proxy/connection_reuse_test.cpp
@@ -5,8 +5,6 @@
 
 #include "net/threads.hpp"
 
-#include <sys/time.h>
-
 namespace harrierpass::proxy {
 namespace {
 
@@ -58,30 +56,21 @@
     const bool responds_early_;
 };
 
-std::string upload_head(const std::string &framing_field) {
-    return "PUT /book/1 HTTP/1.1\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\nX-Deadline: 1500m\r\n" +
-           framing_field + "\r\n\r\n";
-}
-const std::string counted_head = upload_head("Content-Length: " + std::to_string(upload_size));
-const std::string chunked_head = upload_head("Transfer-Encoding: chunked") + "30d40\r\n"; // one chunk
+const std::string counted_head = test::upload_head("1500m", "Content-Length: " + std::to_string(upload_size));
+const std::string chunked_head =
+    test::upload_head("1500m", "Transfer-Encoding: chunked") + "30d40\r\n"; // one chunk
 
 struct reuse_fixture {
     reuse_fixture(const std::string &upload_response, bool responds_early)
         : endpoint(upload_response, responds_early), proxy([this](int fd) { endpoint.handle(fd); }) {}
-    tcp_socket connect() const {
-        tcp_socket client(test::connect_to_port(proxy.port));
-        const timeval limit{3, 0};
-        ::setsockopt(client.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-        return client;
-    }
     // Returns the response up to the end of the client's connection.
     std::string upload_part(const std::string &head) const {
-        const tcp_socket client = connect();
+        const tcp_socket client = test::connect_with_time_limit(proxy.port);
         test::send_all(client.get(), head + std::string(first_part, 'v'));
         return test::read_to_end(client.get());
     }
     std::string upload() const {
-        const tcp_socket client = connect();
+        const tcp_socket client = test::connect_with_time_limit(proxy.port);
         test::send_all(client.get(), counted_head + std::string(upload_size, 'v'));
         return test::read_head(client.get());
     }
@@ -90,7 +79,7 @@
     std::string read() const {
         constexpr double at_once = 0.5; // s
         for (;;) {
-            const tcp_socket client = connect();
+            const tcp_socket client = test::connect_with_time_limit(proxy.port);
             const double sent_at = steady_now();
             test::send_all(client.get(), make_request("read", "2", "1500m"));
             const std::string response = test::read_http_message(client.get());
--- a/tests/proxy/long_body_test.cpp
+++ b/tests/proxy/long_body_test.cpp
@@ -6,15 +6,16 @@
 #include "net/threads.hpp"
 
 #include <random>
-#include <sys/time.h>
 
 namespace harrierpass::proxy {
 namespace {
 
 using test::connect_to_port;
+using test::connect_with_time_limit;
 using test::raw_endpoint;
 using test::read_bytes;
 using test::read_head;
+using test::upload_head;
 using test::write_filler;
 
 constexpr std::size_t long_body_size = 32UL * 1024 * 1024; // bytes; the largest body that occurs
@@ -221,10 +222,6 @@
     raw_endpoint_fixture proxy;
 };
 
-std::string upload_head(const std::string &deadline, const std::string &framing_field) {
-    return "PUT /book/1 HTTP/1.1\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\nX-Deadline: " + deadline +
-           "\r\n" + framing_field + "\r\n\r\n";
-}
 std::string counted_upload(const std::string &deadline, std::size_t size = upload_size) {
     return upload_head(deadline, "Content-Length: " + std::to_string(size)) + std::string(size, 'v');
 }
@@ -235,16 +232,6 @@
            std::string(upload_size, 'v') + "\r\n0\r\n\r\n";
 }
 
-// A client whose reads end after some seconds, so that a missing response fails the test instead of blocking
-// it.
-tcp_socket connect_with_time_limit(int port) {
-    tcp_socket client(connect_to_port(port));
-    const timeval limit{3, 0};
-    ::setsockopt(client.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-    ::setsockopt(client.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
-    return client;
-}
-
 } // namespace
 
 // A client that has sent its whole request must have its response in time: the endpoint hangs inside the
--- a/tests/proxy/request_id_test.cpp
+++ b/tests/proxy/request_id_test.cpp
@@ -126,6 +126,14 @@
         killed.process.signal(SIGKILL);
         CHECK(killed.process.wait_for_exit() == -1);
     }
+    // Kills one process while it has a request open; returns the other one.
+    proxy_process &kill_while_open(bool kills_successor, const std::string &class_name,
+                                   const std::string &key) {
+        test_client fresh(successor->port);
+        open(kills_successor ? fresh : kept, class_name, key);
+        kill(kills_successor ? *successor : predecessor);
+        return kills_successor ? predecessor : *successor;
+    }
 
     temporary_directory directory;
     proxy_fixture fixture;
@@ -166,11 +174,7 @@
     for (const bool kills_successor : {false, true}) {
         CAPTURE(kills_successor);
         upgrade_fixture upgrade;
-        test_client fresh(upgrade.successor->port);
-        proxy_process &killed = kills_successor ? *upgrade.successor : upgrade.predecessor;
-        proxy_process &survivor = kills_successor ? upgrade.predecessor : *upgrade.successor;
-        upgrade.open(kills_successor ? fresh : upgrade.kept, "audit", "1");
-        upgrade_fixture::kill(killed);
+        proxy_process &survivor = upgrade.kill_while_open(kills_successor, "audit", "1");
         test_client again(survivor.port);
         CHECK(upgrade_fixture::status_of(again, make_request("audit", "1")) == "HTTP/1.1 409");
         CHECK(upgrade_fixture::status_of(again, make_request("audit", "2")) == "HTTP/1.1 200");
@@ -189,11 +193,7 @@
     for (const bool kills_successor : {false, true}) {
         CAPTURE(kills_successor);
         upgrade_fixture upgrade(endpoint_delay_ms);
-        test_client fresh(upgrade.successor->port);
-        proxy_process &killed = kills_successor ? *upgrade.successor : upgrade.predecessor;
-        proxy_process &survivor = kills_successor ? upgrade.predecessor : *upgrade.successor;
-        upgrade.open(kills_successor ? fresh : upgrade.kept, "read", "1");
-        upgrade_fixture::kill(killed);
+        proxy_process &survivor = upgrade.kill_while_open(kills_successor, "read", "1");
         test_client again(survivor.port);
         const std::string response = again.request(make_request("read", "1"));
         CHECK(status_and_body(response) == "HTTP/1.1 200 [value]");
--- a/tests/proxy/slow_response_test.cpp
+++ b/tests/proxy/slow_response_test.cpp
@@ -5,8 +5,6 @@
 
 #include "net/threads.hpp"
 
-#include <sys/time.h>
-
 namespace harrierpass::proxy {
 namespace {
 
@@ -24,9 +22,9 @@
     std::size_t sent_with_head; // bytes of the body that come before the pause
 };
 
-// Writes a part of a body, in chunks if the plan says so.
-void write_body(int fd, const response_plan &plan, std::size_t size) {
-    const bool is_chunked = plan.framing_field.starts_with("Transfer-Encoding");
+// Writes a part of a body, in chunks if the framing field says so.
+void write_part(int fd, const std::string &framing_field, std::size_t size) {
+    const bool is_chunked = framing_field.starts_with("Transfer-Encoding");
     for (std::size_t sent = 0; sent < size; sent += chunk_size) {
         const std::string part(std::min(chunk_size, size - sent), 'v');
         std::ostringstream text;
@@ -36,15 +34,20 @@
             text << part;
         test::send_all(fd, text.str());
     }
-    if (is_chunked && size == plan.size - plan.sent_with_head)
+}
+
+// Marks the end of a chunked body.
+void write_end(int fd, const std::string &framing_field) {
+    if (framing_field.starts_with("Transfer-Encoding"))
         test::send_all(fd, "0\r\n\r\n");
 }
 
 void write_slowly(int fd, const response_plan &plan) {
     test::send_all(fd, "HTTP/1.1 200 OK\r\n" + plan.framing_field + "\r\n");
-    write_body(fd, plan, plan.sent_with_head);
+    write_part(fd, plan.framing_field, plan.sent_with_head);
     std::this_thread::sleep_for(pause);
-    write_body(fd, plan, plan.size - plan.sent_with_head);
+    write_part(fd, plan.framing_field, plan.size - plan.sent_with_head);
+    write_end(fd, plan.framing_field);
 }
 
 // The number of body bytes in a response to a client, and whether it is whole.
@@ -91,7 +94,7 @@
             std::this_thread::yield();
     }
     ~slow_endpoints_fixture() {
-        proxy.reset(); // ends the connections
+        proxy.reset();
         std::remove(path.c_str());
     }
     slow_endpoints_fixture(const slow_endpoints_fixture &) = delete;
@@ -116,9 +119,7 @@
     // Sends a request and returns the response up to the end of its connection.
     std::string request(const std::string &class_name, const std::string &key,
                         const std::string &deadline = "2500m") const {
-        tcp_socket client(test::connect_to_port(port));
-        const timeval limit{4, 0};
-        ::setsockopt(client.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        const tcp_socket client = test::connect_with_time_limit(port, 4);
         std::string text = make_request(class_name, key, deadline);
         text.insert(text.find("X-Class"), "Connection: close\r\n");
         test::send_all(client.get(), text);
@@ -167,15 +168,14 @@
 void write_pieces(int fd, const piece_plan &plan) {
     test::send_all(fd, "HTTP/1.1 200 OK\r\n" + plan.framing_field + "\r\n");
     wait_for(plan.before_first);
-    const response_plan piece = {{}, plan.framing_field, plan.piece_size + 1, 0};
     for (std::size_t i = 0; i < plan.piece_count && is_open(fd); ++i) {
-        write_body(fd, piece, plan.piece_size);
+        write_part(fd, plan.framing_field, plan.piece_size);
         wait_for(plan.pause);
     }
     if (plan.is_endless)
         test::read_to_end(fd); // until the proxy closes
-    else if (plan.framing_field == chunked)
-        test::send_all(fd, "0\r\n\r\n");
+    else
+        write_end(fd, plan.framing_field);
 }
 
 } // namespace
--- a/tests/support/raw_endpoint.hpp
+++ b/tests/support/raw_endpoint.hpp
@@ -4,8 +4,11 @@
 
 #include "support/helpers.hpp"
 
+#include "net/sockets.hpp"
+
 #include <doctest/doctest.h>
 #include <netinet/tcp.h>
+#include <sys/time.h>
 #include <vector>
 
 namespace harrierpass::test {
@@ -96,4 +99,20 @@
     return fd;
 }
 
+// A client whose reads and writes end after some seconds, so that a missing response fails the test instead
+// of blocking it.
+inline tcp_socket connect_with_time_limit(int port, time_t seconds = 3) {
+    tcp_socket client(connect_to_port(port));
+    const timeval limit{seconds, 0};
+    ::setsockopt(client.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    ::setsockopt(client.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+    return client;
+}
+
+// The head of an upload whose body is framed by `framing_field`.
+inline std::string upload_head(const std::string &deadline, const std::string &framing_field) {
+    return "PUT /book/1 HTTP/1.1\r\nX-Request-Id: 1\r\nIdempotency-Key: k\r\nX-Deadline: " + deadline +
+           "\r\n" + framing_field + "\r\n\r\n";
+}
+
 } // namespace harrierpass::test
